Serve only exact answers, rest lanes before reuse; follow discovery on SIGHUP

Checked: RouterCodec.read took any array of one item or more, and a bare +TEXT or bulk, as an answer to a relay (lines 63 to 82); Lane.received handed a lane on at once, while the rest of what the socket had held could still be on its way. No SIGHUP handler: the JVM ends on it.

Now: an answer is value, how, report and nothing else; an error line is one of the four that routers give; lengths are figures; a 200 needs a length; two lengths are none. An answered lane rests for 5 ms and is closed by what comes meanwhile. An answer that stops for 250 ms is spoilt, so that a read still has time for another try. On SIGHUP the file is read again, the watch at the new discovery is up before the old one goes; a bad file changes nothing.

--- a/src/main/java/baymoor/http/ResponseReader.java
+++ b/src/main/java/baymoor/http/ResponseReader.java
@@ -82,8 +82,12 @@
     /** Whether the connection may carry another request after this answer. */
     public boolean reusable() {
         return whole() && !"close".equalsIgnoreCase(header("connection")) && status >= FINAL
-                && (headers.containsKey("content-length") || headers.containsKey("transfer-encoding")
-                || status == NO_CONTENT || status == NOT_MODIFIED);
+                && (sized() || status == NO_CONTENT || status == NOT_MODIFIED);
+    }
+
+    /** Whether the answer itself tells where its body ends. */
+    public boolean sized() {
+        return headers.containsKey("content-length") || headers.containsKey("transfer-encoding");
     }
 
     public int status() {
@@ -123,7 +127,7 @@
 
     private void status(String text) throws HttpException {
         boolean right = text.matches("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?");
-        if (!right) {
+        if (!right || lines > MOST_HEADERS) {
             throw new HttpException("not an HTTP/1.1 status line");
         }
         status = Integer.parseInt(text.substring(9, 12));
@@ -136,17 +140,23 @@
             return;
         }
         int colon = text.indexOf(':');
-        if (colon <= 0 || ++lines > MOST_HEADERS) {
-            throw new HttpException(colon <= 0 ? "malformed header" : "too many headers");
+        boolean named = colon > 0 && text.chars().limit(colon).allMatch(c -> c > ' ' && c < 127);
+        if (!named || ++lines > MOST_HEADERS) {
+            throw new HttpException(named ? "too many headers" : "malformed header");
         }
-        if (keep) {
-            headers.put(text.substring(0, colon).trim().toLowerCase(Locale.ROOT), text.substring(colon + 1).trim());
+        String name = text.substring(0, colon).toLowerCase(Locale.ROOT);
+        String value = text.substring(colon + 1).trim();
+        String before = keep ? headers.put(name, value) : null;
+        // Two lengths that differ: whichever is believed, the body may be another answer's.
+        if (before != null && !before.equals(value) && name.equals("content-length")) {
+            throw new HttpException("two lengths");
         }
     }
 
     private Part bodyKind() throws HttpException {
         if (status < FINAL) {
             headers.clear();
+            lines++; // an answer of nothing but 1xx never ends
             return Part.STATUS;
         }
         if (status == NO_CONTENT || status == NOT_MODIFIED) {
@@ -154,8 +164,8 @@
         }
         String coding = header("transfer-encoding");
         if (coding != null) {
-            if (!coding.equalsIgnoreCase("chunked")) {
-                throw new HttpException("unknown transfer coding");
+            if (!coding.equalsIgnoreCase("chunked") || headers.containsKey("content-length")) {
+                throw new HttpException("unknown transfer coding, or a length beside it");
             }
             return Part.CHUNK_SIZE;
         }
@@ -164,13 +174,16 @@
             return Part.BODY_TO_END;
         }
         left = number(length, 10);
+        if (left > longestBody) {
+            throw new HttpException("body too long");
+        }
         return left == 0 ? Part.DONE : Part.BODY;
     }
 
     private static long number(String text, int radix) throws HttpException {
         try {
             long n = Long.parseLong(text, radix);
-            if (n >= 0 && n <= Integer.MAX_VALUE && text.charAt(0) != '+') {
+            if (n >= 0 && n <= Integer.MAX_VALUE && text.matches("[0-9a-fA-F]+")) {
                 return n;
             }
         } catch (NumberFormatException e) {
--- a/src/main/java/baymoor/inventory/Discovery.java
+++ b/src/main/java/baymoor/inventory/Discovery.java
@@ -19,7 +19,10 @@
 import merlinstep.Decisions.ServerList;
 import org.json.JSONException;
 
-/** Calls discovery: the list once, or a watch. Each call that fails, and a watch that breaks, is told as FAILED. */
+/**
+ * Calls discovery: the list once, or a watch. Each call that fails, and a watch that breaks, is told as FAILED. When
+ * discovery moves, the watch at the new address is up before the old one is given up, and nothing has failed.
+ */
 public final class Discovery {
 
     /** Longer than discovery lets a call wait, so that its own word comes first. */
@@ -31,8 +34,14 @@
     private static final long SILENCE_MICROS = 3_000_000;
     private static final int LONGEST_BODY = 1 << 20;
     private static final int OK = 200;
+    /**
+     * What discovery has to tell counts as told 4 s after the word to move, and the module would wait longer than this
+     * after a failure.
+     */
+    private static final long MOVE_AGAIN_MICROS = 300_000;
+    private static final int MOST_MOVES = 20;
 
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Dialer dialer;
     private final Time time;
     private final Inventory inventory;
@@ -40,6 +49,10 @@
     private final Consumer<ServerList> events;
     private Call watch;
     private Call asked;
+    /** While discovery moves: the watch at its new address, or the time of the next try for one. */
+    private Call next;
+    private Time.Timer nextTry;
+    private int moves;
 
     public Discovery(InetSocketAddress address, Dialer dialer, Time time, Inventory inventory, Counters counters,
             Consumer<ServerList> events) {
@@ -53,13 +66,83 @@
 
     /** Begins a watch from the version held, or ends the one there is. */
     public void watch(boolean on) {
+        if (on && moving()) {
+            return; // the watch at the new address is on its way already
+        }
+        stay();
         if (watch != null) {
             watch.abandon();
             watch = null;
         }
         if (on) {
-            watch = new Call("/v1/servers?watch=1&from=" + inventory.version(), true);
+            watch = watching();
+        }
+    }
+
+    private Call watching() {
+        return new Call("/v1/servers?watch=1&from=" + inventory.version(), true);
+    }
+
+    /** Discovery is found at another address from now on. */
+    public void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
         }
+        address = to;
+        stay();
+        moves = 0;
+        if (asked != null && !asked.over) {
+            asked.abandon();
+            ask();
+        }
+        if (watch != null) {
+            follow();
+        }
+    }
+
+    private boolean moving() {
+        return next != null || nextTry != null;
+    }
+
+    private void stay() {
+        if (next != null) {
+            next.abandon();
+            next = null;
+        }
+        if (nextTry != null) {
+            nextTry.cancel();
+            nextTry = null;
+        }
+    }
+
+    private void follow() {
+        nextTry = null;
+        moves++;
+        next = watching();
+    }
+
+    /** The new address answers: only now is the old watch given up, so that nothing told meanwhile is missed. */
+    private void arrived() {
+        if (watch != null) {
+            watch.abandon();
+        }
+        watch = next;
+        next = null;
+    }
+
+    private void failed(Call call) {
+        counters.add(Count.INVENTORY_FAILED);
+        if (call == watch && moving()) {
+            return; // the old discovery has closed it, as it may: the new watch makes up for it
+        }
+        if (call == next) {
+            next = null;
+            if (moves < MOST_MOVES) {
+                nextTry = time.after(MOVE_AGAIN_MICROS, this::follow);
+                return;
+            }
+        }
+        events.accept(new ServerList(ListKind.FAILED, inventory.version(), List.of()));
     }
 
     /** Asks once for the whole list; a call that is out already serves as well. */
@@ -76,6 +159,7 @@
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
         private Link link;
         private Time.Timer patience;
+        private final InetSocketAddress at = address;
         private boolean over;
 
         Call(String target, boolean watching) {
@@ -83,12 +167,12 @@
             this.watching = watching;
             counters.add(Count.INVENTORY_CALLS);
             patience = time.after(ANSWER_MICROS, this::fail);
-            link = dialer.dial(address, this);
+            link = dialer.dial(at, this);
         }
 
         @Override
         public void opened() {
-            String host = address.getAddress().getHostAddress() + ":" + address.getPort();
+            String host = at.getAddress().getHostAddress() + ":" + at.getPort();
             link.write(RequestWriter.request("GET", target, host, Map.of(), null));
         }
 
@@ -103,6 +187,9 @@
                     fail();
                     return;
                 }
+                if (this == next && reader.headed()) {
+                    arrived();
+                }
                 byte[] body = reader.takeBody();
                 if (watching) {
                     patience(SILENCE_MICROS);
@@ -186,8 +273,7 @@
         private void fail() {
             if (!over) {
                 abandon();
-                counters.add(Count.INVENTORY_FAILED);
-                events.accept(new ServerList(ListKind.FAILED, inventory.version(), List.of()));
+                failed(this);
             }
         }
 
--- a/src/main/java/baymoor/resp/RespReader.java
+++ b/src/main/java/baymoor/resp/RespReader.java
@@ -11,6 +11,8 @@
     /** The longest value that the protocol allows. */
     public static final int LONGEST_BULK = 64 * 1024;
     private static final int LONGEST_LINE = 1024;
+    /** Guards against noise behind a sign that promises a number: waiting on for its end would cost the request. */
+    private static final int LONGEST_NUMBER = 24;
     private static final int MOST_ITEMS = 64;
     private static final int DEEPEST = 3;
     private static final int LONGEST_MESSAGE = LONGEST_BULK + 16 * 1024;
@@ -83,7 +85,7 @@
             throw new RespException(depth == 0 ? "expected '*'" : "expected '$'");
         }
         at++;
-        String line = line();
+        String line = line(type == '+' || type == '-' ? LONGEST_LINE : LONGEST_NUMBER);
         if (line == null) {
             return null;
         }
@@ -129,7 +131,7 @@
         return new Resp.Many(items);
     }
 
-    private String line() throws RespException {
+    private String line(int longest) throws RespException {
         for (int i = at; i < to; i++) {
             if (bytes[i] == '\n') {
                 if (i == at || bytes[i - 1] != '\r') {
@@ -139,22 +141,28 @@
                 at = i + 1;
                 return line;
             }
-            if (i - at > LONGEST_LINE) {
+            if (i - at > longest) {
                 throw new RespException("line too long");
             }
         }
         return null;
     }
 
+    /** Figures in ASCII with a minus at most: what else Java reads as a number is no length here. */
     private static long number(String line, long least, long most) throws RespException {
+        boolean figures = !line.isEmpty() && !line.equals("-");
+        for (int i = 0; i < line.length(); i++) {
+            char c = line.charAt(i);
+            figures &= c >= '0' && c <= '9' || c == '-' && i == 0;
+        }
         try {
-            long n = Long.parseLong(line);
-            if (n >= least && n <= most) {
+            long n = figures ? Long.parseLong(line) : Long.MAX_VALUE;
+            if (figures && n >= least && n <= most) {
                 return n;
             }
         } catch (NumberFormatException e) {
-            throw new RespException("not a number");
+            throw new RespException("length out of range");
         }
-        throw new RespException("length out of range");
+        throw new RespException(figures ? "length out of range" : "not a number");
     }
 }
--- a/src/main/java/baymoor/serve/Balancer.java
+++ b/src/main/java/baymoor/serve/Balancer.java
@@ -12,6 +12,7 @@
 import baymoor.south.South;
 import java.io.IOException;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -41,6 +42,7 @@
     private final North north;
     private final Dispatcher dispatcher;
     private final Inventory inventory;
+    private final Discovery discovery;
     private final Peers peers;
     private final CountDownLatch ended = new CountDownLatch(1);
 
@@ -62,7 +64,7 @@
         List<String> fields = module.reports() == Decisions.Reports.NONE ? List.of() : module.reportFields();
         South south = new South(net, thread, counters, inventory::entry, listed ? module.kinds().get(kind) : null,
                 fields, module.limits(), half, dispatcher);
-        Discovery discovery = new Discovery(settings.discovery(), net, thread, inventory, counters,
+        discovery = new Discovery(settings.discovery(), net, thread, inventory, counters,
                 dispatcher::listed);
         peers = new Peers(settings.peers(), settings.peersAll(), net, counters, dispatcher::heard);
         dispatcher.connect(north, south, discovery, peers);
@@ -92,6 +94,19 @@
         }
     }
 
+    /** Takes over what of a new configuration can change under load: where discovery is. The rest needs a new start. */
+    void reload(Settings fresh) {
+        log.accept("config: read again, discovery at " + fresh.discovery());
+        boolean same = fresh.name().equals(settings.name()) && fresh.listen().equals(settings.listen())
+                && fresh.sockets() == settings.sockets() && fresh.peers().equals(settings.peers())
+                && Objects.equals(fresh.peerListen(), settings.peerListen())
+                && Objects.equals(fresh.peersAll(), settings.peersAll());
+        if (!same) {
+            log.accept("config: a new name, listen, limits or peers take a restart; the old ones stay");
+        }
+        thread.post(() -> discovery.move(fresh.discovery()));
+    }
+
     /** Serves on for a while, then takes nothing new, answers all that was taken, and returns. */
     void drain() {
         long longest = settings.module().classes().stream().mapToLong(Decisions.RequestClass::deadlineMicros).max()
--- a/src/main/java/baymoor/serve/Main.java
+++ b/src/main/java/baymoor/serve/Main.java
@@ -21,6 +21,7 @@
         try {
             Settings settings = Config.read(System.getenv());
             Balancer balancer = new Balancer(settings, line -> System.err.println(settings.name() + ": " + line));
+            Hangup.handle(() -> reload(balancer, settings.name()));
             balancer.start();
             Runtime.getRuntime().addShutdownHook(new Thread(balancer::drain, "drain"));
         } catch (BadConfig e) {
@@ -29,6 +30,18 @@
         } catch (IOException | RuntimeException e) {
             System.err.println("can't listen: " + e.getMessage());
             System.exit(CANNOT_START);
+        } catch (ReflectiveOperationException e) {
+            System.err.println("can't handle SIGHUP: " + e);
+            System.exit(CANNOT_START);
+        }
+    }
+
+    /** A file that can't be used is logged, and what was read before stays. */
+    private static void reload(Balancer balancer, String name) {
+        try {
+            balancer.reload(Config.read(System.getenv()));
+        } catch (BadConfig | RuntimeException e) {
+            System.err.println(name + ": " + e.getMessage() + "; the old configuration stays");
         }
     }
 }
--- a/src/main/java/baymoor/south/Lane.java
+++ b/src/main/java/baymoor/south/Lane.java
@@ -13,11 +13,20 @@
  */
 final class Lane implements LinkEvents {
 
+    /**
+     * Seen: a second copy of an answer right behind it, cut off from it by the size of a read. A connection that went on
+     * at once would take it for the next relay's answer, so it rests first: what comes meanwhile closes it.
+     */
+    private static final long REST_MICROS = 5_000;
+    /** Seen: a length larger than what follows. An answer that has begun and then stops for so long is spoilt. */
+    private static final long STALL_MICROS = 250_000;
+
     private final South south;
     private final Host host;
     private final Codec codec;
     private Link link;
     private Time.Timer connecting;
+    private Time.Timer stalling;
     private Relay relay;
     private Reply ending;
     private boolean up;
@@ -99,15 +108,35 @@
             return;
         }
         Reply reply = codec.feed(bytes);
-        if (reply != null) {
-            Relay answered = relay;
-            relay = null;
-            if (reply.reusable() && written) {
-                host.free(this);
-            } else {
-                close();
-            }
-            south.end(answered, reply);
+        if (stalling != null) {
+            stalling.cancel();
+        }
+        if (reply == null) {
+            stalling = south.time.after(STALL_MICROS, this::stalled);
+            return;
+        }
+        Relay answered = relay;
+        relay = null;
+        if (reply.reusable() && written && !link.unread()) {
+            south.time.after(REST_MICROS, this::rested);
+        } else {
+            close();
+        }
+        south.end(answered, reply);
+    }
+
+    private void rested() {
+        if (!closing && link.unread()) {
+            close();
+        } else if (!closing) {
+            host.free(this);
+        }
+    }
+
+    private void stalled() {
+        if (!closing && relay != null) {
+            south.counters.add(Count.ANSWERS_STALLED);
+            giveUp(Outcome.ERROR);
         }
     }
 
@@ -119,6 +148,9 @@
     @Override
     public void closed() {
         connecting.cancel();
+        if (stalling != null) {
+            stalling.cancel();
+        }
         closing = true;
         host.idle.remove(this);
         host.lanes--;
--- a/src/main/java/baymoor/south/RouterCodec.java
+++ b/src/main/java/baymoor/south/RouterCodec.java
@@ -8,14 +8,24 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import merlinstep.Decisions.Outcome;
 
-/** Speaks RESP2 with a router. */
+/**
+ * Speaks RESP2 with a router. Only the exact shape of an answer counts as one: seen were answers spoilt on their way,
+ * such as a bare line or a shorter array, and passing one of these on loses the request.
+ */
 final class RouterCodec implements Codec {
 
     private final RespReader reader = RespReader.ofAnswers();
+    private static final double[] NONE = new double[0];
+    private static final int ANSWER_ITEMS = 3;
+    private static final Pattern TURNED_AWAY = Pattern.compile("BUSY( [0-9]{1,9})?");
+    private static final Pattern READABLE = Pattern.compile("BUSY( [0-9]{1,9})?|(ERR|SYNTAX|NOPERM)( [ -~]*)?");
+
     private final List<String> reportFields;
+    private boolean probing;
 
     RouterCodec(List<String> reportFields) {
         this.reportFields = reportFields;
@@ -24,6 +34,7 @@
     /** The facts as they came, but that {@code d} says how long this balancer will wait. */
     @Override
     public byte[] request(Parcel parcel, long waitMillis) {
+        probing = false;
         Map<String, String> facts = new LinkedHashMap<>(parcel.facts());
         facts.put("d", Long.toString(waitMillis));
         byte[] key = RespWriter.ascii(parcel.key());
@@ -39,6 +50,7 @@
 
     @Override
     public byte[] probe() {
+        probing = true;
         return reportFields.isEmpty() ? RespWriter.command(RespWriter.ascii("PING"))
                 : RespWriter.command(RespWriter.ascii("INFO"), RespWriter.ascii("load"));
     }
@@ -55,38 +67,44 @@
     }
 
     private Reply read(Resp answer, boolean clean) {
-        if (answer instanceof Resp.Many many && many.items() != null && !many.items().isEmpty()) {
-            byte[] value = bytes(many.items().get(0));
-            double[] report = LoadReport.parse(text(many.items(), 2), reportFields);
-            String how = text(many.items(), 1);
-            int note = how == null ? 0 : switch (how) {
-                case "hit" -> 1;
-                case "miss" -> 2;
-                case "pending" -> 3;
-                default -> 0;
-            };
-            return new Reply(value == null ? Outcome.MISS : Outcome.SERVED, value, note, report, clean);
-        }
         if (answer instanceof Resp.Failure failure) {
-            boolean busy = failure.text().equals("BUSY") || failure.text().startsWith("BUSY ");
-            return new Reply(busy ? Outcome.FULL : Outcome.ERROR, null, 0, new double[0], clean);
+            boolean busy = TURNED_AWAY.matcher(failure.text()).matches();
+            boolean readable = READABLE.matcher(failure.text()).matches();
+            return new Reply(busy ? Outcome.FULL : Outcome.ERROR, null, 0, NONE, clean && readable);
         }
-        if (answer instanceof Resp.Simple || answer instanceof Resp.Bulk) { // of a probe
-            byte[] text = bytes(answer);
-            String report = text == null ? null : new String(text, StandardCharsets.UTF_8);
-            return new Reply(Outcome.SERVED, null, 0, LoadReport.parse(report, reportFields), clean);
+        Reply reply = probing ? probed(answer, clean) : relayed(answer, clean);
+        return reply == null ? Reply.without(Outcome.ERROR) : reply;
+    }
+
+    /** Value or receipt, how it went, load report; null if it is anything else. */
+    private Reply relayed(Resp answer, boolean clean) {
+        if (!(answer instanceof Resp.Many many) || many.items() == null || many.items().size() != ANSWER_ITEMS
+                || !(many.items().get(0) instanceof Resp.Bulk value)
+                || !(many.items().get(1) instanceof Resp.Bulk how)) {
+            return null;
         }
-        return Reply.without(Outcome.ERROR);
+        int note = how.bytes() == null ? 0 : switch (text(how)) {
+            case "hit" -> 1;
+            case "miss" -> 2;
+            case "pending" -> 3;
+            default -> 0;
+        };
+        // A load report that can't be read says nothing against the value that came with it.
+        double[] report = many.items().get(2) instanceof Resp.Bulk b ? LoadReport.parse(text(b), reportFields) : NONE;
+        return new Reply(value.bytes() == null ? Outcome.MISS : Outcome.SERVED, value.bytes(), note, report, clean);
     }
 
-    private static byte[] bytes(Resp item) {
-        return item instanceof Resp.Bulk bulk ? bulk.bytes()
-                : item instanceof Resp.Simple simple ? RespWriter.ascii(simple.text()) : null;
+    /** A sign of life or a load report; null if it is anything else. */
+    private Reply probed(Resp answer, boolean clean) {
+        if (answer instanceof Resp.Bulk bulk && bulk.bytes() != null && !reportFields.isEmpty()) {
+            return new Reply(Outcome.SERVED, null, 0, LoadReport.parse(text(bulk), reportFields), clean);
+        }
+        boolean alive = answer instanceof Resp.Simple simple && simple.text().equals("PONG");
+        return alive ? new Reply(Outcome.SERVED, null, 0, NONE, clean) : null;
     }
 
-    private static String text(List<Resp> items, int at) {
-        byte[] bytes = at < items.size() ? bytes(items.get(at)) : null;
-        return bytes == null ? null : new String(bytes, StandardCharsets.UTF_8);
+    private static String text(Resp.Bulk bulk) {
+        return bulk.bytes() == null ? null : new String(bulk.bytes(), StandardCharsets.UTF_8);
     }
 
     @Override
--- a/src/test/java/baymoor/ProgramIT.java
+++ b/src/test/java/baymoor/ProgramIT.java
@@ -160,6 +160,21 @@
         assertTrue(end, end.contains("served:2 ") && end.contains("invariants_broken:0"));
     }
 
+    @Test
+    public void onSighupItFollowsDiscoveryAndABadFileChangesNothing() throws Exception {
+        world.router("s-a", 0, words -> value("v"));
+        world.start();
+        assertTrue(world.watchedAt() > 0);
+        world.reload("{\"name\":");
+        assertTrue(world.said("the old configuration stays").contains("config: not JSON"));
+        String moved = world.config();
+        world.reload(moved);
+        assertTrue(moved.contains("\"discovery\":\"127.0.0.1:" + world.watchedAt() + "\""));
+        try (World.Client client = world.client()) {
+            assertEquals("v", client.ask(read("0a", "1")));
+        }
+    }
+
     @Test
     public void theAdapterOfTheSimulatorStartsFromTheSameBuild() throws Exception {
         Process sim = new ProcessBuilder("/bin/sh", "-c", World.deployed("sim")).start();
--- a/src/test/java/baymoor/World.java
+++ b/src/test/java/baymoor/World.java
@@ -1,10 +1,12 @@
 package baymoor;
 
 import java.io.BufferedInputStream;
+import java.io.BufferedReader;
 import java.io.Closeable;
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -14,8 +16,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -27,8 +31,11 @@
     private final List<OutputStream> watches = new CopyOnWriteArrayList<>();
     private final List<String> endpoints = new ArrayList<>();
     private final CountDownLatch watched = new CountDownLatch(1);
+    private final BlockingQueue<Integer> watchedAt = new LinkedBlockingQueue<>();
     private final int port = freePort();
     private Process process;
+    private BufferedReader errors;
+    private Path file;
 
     /** One message that a router or the origin got, and when. */
     record Got(List<String> words, long nanos) { }
@@ -128,8 +135,9 @@
         out.flush();
     }
 
-    private String config() throws IOException {
-        int discovery = listen(socket -> {
+    /** Another discovery, which tells the same list; its port. */
+    private int discovery() throws IOException {
+        return listen(socket -> {
             InputStream in = new BufferedInputStream(socket.getInputStream());
             request(in);
             OutputStream out = socket.getOutputStream();
@@ -137,9 +145,13 @@
             line(out, "{\"index\":1,\"snapshot\":true,\"endpoints\":[" + String.join(",", endpoints) + "]}\n");
             watches.add(out);
             watched.countDown();
+            watchedAt.add(socket.getLocalPort());
             in.read();
         });
-        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery + "\","
+    }
+
+    String config() throws IOException {
+        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery() + "\","
                 + "\"seed\":\"1f\",\"limits\":{\"sockets\":1024},\"known\":{\"index\":0,\"endpoints\":["
                 + String.join(",", endpoints) + "]},\"settings\":" + Files.readString(
                         Path.of("src/test/resources/settings.json")) + "}";
@@ -165,12 +177,14 @@
     }
 
     Process launch(String config) throws IOException {
-        Path file = Files.createTempFile("config", ".json");
-        open.add(() -> Files.deleteIfExists(file));
+        file = Files.createTempFile("config", ".json");
+        Path made = file;
+        open.add(() -> Files.deleteIfExists(made));
         Files.writeString(file, config);
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", deployed("run"));
         builder.environment().put("ROUTER_CONFIG", file.toString());
         process = builder.redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        errors = new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8));
         return process;
     }
 
@@ -181,6 +195,27 @@
                 .findFirst().orElseThrow().replace(start, "exec java -ea").replaceAll("\"$", "");
     }
 
+    /** Replaces the configuration file and sends SIGHUP. */
+    void reload(String config) throws IOException, InterruptedException {
+        Files.writeString(file, config);
+        new ProcessBuilder("/bin/kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+    }
+
+    /** The port of the next discovery that is watched. */
+    int watchedAt() throws InterruptedException {
+        Integer port = watchedAt.poll(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        return port == null ? -1 : port;
+    }
+
+    /** The next line on the program's standard error that holds a text. */
+    String said(String text) throws IOException {
+        String line = errors.readLine();
+        while (line != null && !line.contains(text)) {
+            line = errors.readLine();
+        }
+        return line;
+    }
+
     Process process() {
         return process;
     }
--- a/src/test/java/baymoor/inventory/InventoryTest.java
+++ b/src/test/java/baymoor/inventory/InventoryTest.java
@@ -1,6 +1,7 @@
 package baymoor.inventory;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertNotEquals;
 import static org.junit.Assert.assertTrue;
 
@@ -120,6 +121,56 @@
         assertEquals("[FAILED]", kinds());
     }
 
+    @Test
+    public void whereDiscoveryMovesTheOldWatchIsKeptUntilTheNewOneAnswers() {
+        FakeLink old = watch();
+        old.in(chunk(list(7, true, entry("s-a", "in_service", 0)) + "\n"));
+        discovery.move(new InetSocketAddress("127.0.0.1", 2));
+        FakeLink next = links.get(1);
+        next.events.opened();
+        assertTrue(next.takeOut().startsWith("GET /v1/servers?watch=1&from=7 HTTP/1.1\r\nHost: 127.0.0.1:2\r\n"));
+        assertFalse(old.closed);
+        old.in(chunk(list(8, false, entry("s-a", "terminating", 0)) + "\n"));
+        next.in(HEAD);
+        assertTrue(old.closed);
+        next.in(chunk(list(9, false, entry("s-a", "in_service", 0)) + "\n"));
+        assertEquals("[WHOLE, CHANGES, CHANGES]", kinds());
+        next.events.closed();
+        assertEquals("[FAILED]", kinds());
+    }
+
+    @Test
+    public void aMoveIsTriedAgainAndTheOldWatchMayEndMeanwhile() {
+        FakeLink old = watch();
+        discovery.move(new InetSocketAddress("127.0.0.1", 2));
+        links.get(1).events.closed();
+        old.events.closed();
+        time.pass(300_000);
+        assertEquals(3, links.size());
+        discovery.watch(true);
+        assertEquals("the watch on its way serves", 3, links.size());
+        links.get(2).events.opened();
+        links.get(2).in(HEAD + chunk(list(1, true) + "\n"));
+        assertEquals("[WHOLE]", kinds());
+        time.pass(2_900_000);
+        assertEquals("[]", kinds());
+    }
+
+    @Test
+    public void aMoveThatNeverArrivesHasFailedOnce() {
+        watch().events.closed();
+        assertEquals("[FAILED]", kinds());
+        discovery.move(new InetSocketAddress("127.0.0.1", 2));
+        for (int i = 1; i < links.size() && i < 50; i++) {
+            links.get(i).events.closed();
+            time.pass(300_000);
+        }
+        assertEquals(21, links.size());
+        assertEquals("[FAILED]", kinds());
+        time.pass(9_000_000);
+        assertEquals(21, links.size());
+    }
+
     @Test
     public void aLineThatCannotBeReadIsIgnoredAndTheListAskedForOnce() {
         FakeLink link = watch();
--- a/src/test/java/baymoor/south/SouthTest.java
+++ b/src/test/java/baymoor/south/SouthTest.java
@@ -72,6 +72,11 @@
         return link;
     }
 
+    /** An answered connection rests for a moment before it may carry the next relay. */
+    private void rest() {
+        time.pass(5_000);
+    }
+
     private String ends() {
         time.pass(0);
         String all = String.join("; ", ended);
@@ -90,11 +95,26 @@
             {"-SYNTAX\r\n", "r ERROR"},
             {"*-1\r\n", "r ERROR"},
             {"nonsense\r\n", "r ERROR"},
+            {"*1\r\n$1\r\nv\r\n", "r ERROR"},
+            {"*2\r\n$1\r\nv\r\n$-1\r\n", "r ERROR"},
+            {"*4\r\n$1\r\nv\r\n$-1\r\n$-1\r\n$-1\r\n", "r ERROR"},
+            {"*3\r\n+v\r\n$-1\r\n$-1\r\n", "r ERROR"},
+            {"*3\r\n:1\r\n$-1\r\n$-1\r\n", "r ERROR"},
+            {"$1\r\nv\r\n", "r ERROR"},
+            {"+PONG\r\n", "r ERROR"},
+            {"*3\r\n$3000000000\r\nvvv", "r ERROR"},
+            {"*3\r\n$000000000000000000000000000000", "r ERROR"},
+            {"-BUSY\u0001\r\n", "r ERROR"},
+            {"-BUSYBODY 3\r\n", "r ERROR"},
+            {"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$5\r\n{{=,=\r\n", "r SERVED v"},
+            {"*3\r\n$1\r\nv\r\n$-1\r\n:7\r\n", "r SERVED v"},
         };
         for (String[] c : cases) {
             FakeLink link = sendAndWrite("r", ROUTER);
             link.in(c[0]);
             assertEquals(c[0], c[1], ends());
+            boolean sound = !c[1].equals("r ERROR") || c[0].equals("-ERR failed\r\n") || c[0].equals("-SYNTAX\r\n");
+            assertEquals(c[0], !sound, link.closed);
             link.events.closed();
         }
     }
@@ -108,6 +128,13 @@
             {"HTTP/1.1 503 no\r\nX-Unprocessed: 1\r\n" + none, "r FULL"},
             {"HTTP/1.1 504 no\r\nX-Unprocessed: 1\r\n" + none, "r FULL"},
             {"HTTP/1.1 503 no\r\n" + none, "r ERROR"},
+            {"HTTP/1.1 100 go on\r\n\r\nHTTP/1.1 102 yes\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv",
+                "r SERVED v"},
+            {"HTTP/1.1 200 OK\r\nX-Backend-Load: {{=,\r\nContent-Length: 1\r\n\r\nv", "r SERVED v"},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nv", "r ERROR"},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\nv", "r ERROR"},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nv", "r ERROR"},
+            {"HTTP/1.1 200 OK\r\nno ise: 1\r\nContent-Length: 1\r\n\r\nv", "r ERROR"},
             {"nonsense\r\n", "r ERROR"},
         };
         for (String[] c : cases) {
@@ -162,6 +189,7 @@
         FakeLink link = sendAndWrite("r", ROUTER);
         link.in(HIT);
         assertEquals("r SERVED v", ends());
+        rest();
         assertEquals(null, send("s", ROUTER, null));
         assertTrue(link.takeOut().contains("$1\r\ns\r\n"));
         link.events.written();
@@ -184,6 +212,43 @@
         assertEquals("s SERVED v", ends());
     }
 
+    @Test
+    public void anAnswerOfUnknownLengthIsNotServedWhenItsConnectionEnds() {
+        FakeLink link = sendAndWrite("r", ORIGIN);
+        link.in("HTTP/1.1 200 OK\r\n\r\nv");
+        link.events.closed();
+        assertEquals("r ERROR", ends());
+    }
+
+    @Test
+    public void aCopyRightBehindAnAnswerFindsNoRelayToAnswer() {
+        FakeLink link = sendAndWrite("r", ROUTER);
+        link.in(HIT);
+        assertEquals("r SERVED v", ends());
+        FakeLink other = send("s", ROUTER, null);
+        assertTrue("the first still rests", other != null);
+        link.unread = true;
+        rest();
+        assertTrue(link.closed);
+        link.in(HIT);
+        assertEquals("", ends());
+    }
+
+    @Test
+    public void anAnswerThatStopsHalfwayIsSpoiltBeforeItsTimeIsUp() {
+        FakeLink link = sendAndWrite("r", ROUTER);
+        link.in("*3\r\n$9\r\nv");
+        time.pass(249_999);
+        link.in("v");
+        time.pass(249_999);
+        assertFalse(link.closed);
+        time.pass(1);
+        assertTrue(link.closed);
+        link.events.closed();
+        assertEquals("r ERROR", ends());
+        assertEquals(1, counters.get(Count.ANSWERS_STALLED));
+    }
+
     @Test
     public void aQueuedSendLooksAgainAtADrainingHost() {
         FakeLink link = send("r", ROUTER, null);
@@ -201,6 +266,7 @@
         link.takeOut();
         link.in(HIT);
         assertEquals("r SERVED v", ends());
+        rest();
         assertTrue(link.takeOut().contains("$1\r\ns\r\n"));
         link.events.written();
         send("t", ROUTER, null);
