Close silent, half-sent and idle client connections; refuse an id that is open

Now: no whole command within 1.5 s is an error and a close; an idle connection goes after 2 s in a crowd, 15 s else; past the bound the silent go first; who is stopped is read no further, and bytes that the decision thread has not taken yet are bounded for each connection. An id stays refused while one of its relays is out.

--- a/src/main/java/baymoor/dispatch/Dispatcher.java
+++ b/src/main/java/baymoor/dispatch/Dispatcher.java
@@ -67,6 +67,7 @@
     private final Counters counters;
     private final Consumer<String> log;
     private final Map<String, Open> requests = new HashMap<>();
+    private final Set<String> ids = new HashSet<>();
     private final Set<Long> timersSet = new HashSet<>();
     private North north;
     private South south;
@@ -94,6 +95,7 @@
     public void taken(long ticket, Taken t) {
         String id = Long.toString(ticket);
         requests.put(id, new Open(ticket, t));
+        ids.add(t.id());
         deliver(new Request(id, t.requestClass(), t.tenant(), true, key(t.key()), t.deadlineMicros(), t.workMicros(),
                 t.size(), t.retry(), t.write()));
     }
@@ -114,6 +116,11 @@
         return hash;
     }
 
+    @Override
+    public boolean open(String id) {
+        return ids.contains(id);
+    }
+
     @Override
     public void gone(long ticket) {
         Open r = requests.get(Long.toString(ticket));
@@ -127,6 +134,7 @@
         r.done = true;
         if (r.out == 0) {
             requests.remove(Long.toString(r.ticket));
+            ids.remove(r.taken.id());
         }
     }
 
--- a/src/main/java/baymoor/net/MinaLink.java
+++ b/src/main/java/baymoor/net/MinaLink.java
@@ -11,6 +11,9 @@
 /** One TCP connection. Its state machine is called on the decision thread only. */
 final class MinaLink implements Link {
 
+    /** Seen: clients that send at full speed. What they send must wait in their sockets, not in the queue. */
+    private static final int MOST_UNTOLD = 128 * 1024;
+
     private final DecisionThread thread;
     private LinkEvents events;
     private volatile IoSession session;
@@ -18,6 +21,9 @@
     private ConnectFuture connecting;
     private boolean over;
     private final AtomicInteger untold = new AtomicInteger();
+    /** Whether the state machine wants bytes, and whether the decision thread keeps up with them. */
+    private boolean wanted = true;
+    private boolean behind;
 
     MinaLink(DecisionThread thread) {
         this.thread = thread;
@@ -53,15 +59,32 @@
     }
 
     void tellReceived(byte[] bytes) {
-        untold.incrementAndGet();
+        if (untold.addAndGet(bytes.length) > MOST_UNTOLD) {
+            read(true, null);
+        }
         thread.post(() -> {
-            untold.decrementAndGet();
             if (!over) {
                 events.received(bytes);
             }
+            if (untold.addAndGet(-bytes.length) <= MOST_UNTOLD / 2) {
+                read(false, null);
+            }
         });
     }
 
+    /** Each of the two that may stop the reading from the socket says so for itself. */
+    private synchronized void read(Boolean nowBehind, Boolean nowWanted) {
+        boolean before = wanted && !behind;
+        behind = nowBehind == null ? behind : nowBehind;
+        wanted = nowWanted == null ? wanted : nowWanted;
+        boolean after = wanted && !behind;
+        if (after && !before) {
+            session.resumeRead();
+        } else if (before && !after) {
+            session.suspendRead();
+        }
+    }
+
     void tellWritten() {
         tell(() -> events.written());
     }
@@ -114,10 +137,6 @@
 
     @Override
     public void reading(boolean on) {
-        if (on) {
-            session.resumeRead();
-        } else {
-            session.suspendRead();
-        }
+        read(null, on);
     }
 }
--- a/src/main/java/baymoor/north/Facts.java
+++ b/src/main/java/baymoor/north/Facts.java
@@ -4,12 +4,15 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 /** Reads the words of a request: key, id, and the list of names and values. */
 final class Facts {
 
     private static final int LONGEST_WORD = 256;
     private static final int LONGEST_LIST = 2048;
+    /** What is written as a number elsewhere too; Java alone also reads 0x1p3 and 480d as numbers. */
+    private static final Pattern NUMBER = Pattern.compile("-?[0-9]{1,18}(\\.[0-9]{1,18})?([eE][-+]?[0-9]{1,3})?");
     private static final double LONGEST_MILLIS = 3_600_000;
     /** The client's clock started when it sent, its answer has to travel too: both ways' time at the least. */
     private static final long TRAVEL_MICROS = 2_000;
@@ -56,6 +59,9 @@
 
     private static double number(Map<String, String> facts, String name, double absent) throws Refused {
         String text = facts.get(name);
+        if (text != null && !NUMBER.matcher(text).matches()) {
+            throw new Refused(name + " is not a number");
+        }
         try {
             double n = text == null ? absent : Double.parseDouble(text);
             if (Double.isFinite(n)) {
--- a/src/main/java/baymoor/north/Intake.java
+++ b/src/main/java/baymoor/north/Intake.java
@@ -4,6 +4,9 @@
 public interface Intake {
     void taken(long ticket, Taken request);
 
+    /** Whether a request with this id, which its client chose, is open or still out at a host. */
+    boolean open(String id);
+
     /** No answer is owed any more: the client has left, or its time ran out. */
     void gone(long ticket);
 }
--- a/src/main/java/baymoor/north/North.java
+++ b/src/main/java/baymoor/north/North.java
@@ -18,6 +18,11 @@
 
     /** An answer later than this after the deadline would break a rule: then the request fails, whoever slept. */
     private static final long OVERDUE_MICROS = 10_000;
+    private static final long LOOK_MICROS = 250_000;
+    /** A client's first request comes right behind its connection; one silent for longer is the first to go. */
+    private static final long SILENT_MICROS = 300_000;
+    /** Connections past the bound that are told to come back; a crowd past these is closed unheard. */
+    private static final int MOST_EXTRA = 16;
     private static final long MOST_VALUE_BYTES = 16L << 20;
 
     final Time time;
@@ -48,6 +53,13 @@
         this.mostClients = mostClients;
         this.mostOwed = mostOwed;
         this.report = report;
+        time.after(LOOK_MICROS, this::look);
+    }
+
+    private void look() {
+        time.after(LOOK_MICROS, this::look);
+        boolean crowded = clients.size() > mostClients / 4;
+        List.copyOf(clients).forEach(c -> c.look(crowded));
     }
 
     /** What is owed to one command of a client, in whose order the answers go out. */
@@ -71,16 +83,38 @@
         RespClient client = new RespClient(this, link);
         clients.add(client);
         if (clients.size() > mostClients) {
-            // Descriptors are bounded: what has been quiet longest goes, which a client may expect between requests.
-            clients.stream().filter(c -> c != client && c.quiet()).findFirst().ifPresentOrElse(c -> {
-                counters.add(Count.CLIENTS_EVICTED);
-                clients.remove(c);
-                c.leave();
-            }, client::oneAnswerOnly);
+            makeRoom(client);
         }
         return client;
     }
 
+    /**
+     * Descriptors are bounded. What never spoke goes first: seen were hundreds of silent connections, for which those
+     * of clients at work would have gone. Then what has been quiet longest, which a client may expect between requests.
+     */
+    private void makeRoom(RespClient newest) {
+        clients.stream().filter(c -> c.silent(SILENT_MICROS)).findFirst()
+                .or(() -> clients.stream().filter(c -> c.spoken() && c.quiet()).findFirst())
+                .or(() -> clients.stream().filter(c -> c != newest && c.quiet()).findFirst())
+                .ifPresentOrElse(c -> {
+                    counters.add(Count.CLIENTS_EVICTED);
+                    clients.remove(c);
+                    c.leave();
+                }, () -> {
+                    if (clients.size() > mostClients + MOST_EXTRA) {
+                        counters.add(Count.CLIENTS_EVICTED);
+                        newest.leave();
+                    } else {
+                        newest.oneAnswerOnly();
+                    }
+                });
+    }
+
+    /** Whether a request with this id is still open, or one of its relays out. */
+    boolean open(String id) {
+        return intake.open(id);
+    }
+
     /**
      * Whether a request is to be turned away before the decisions see it: a crowd of requests, or of large values,
      * must not take more memory than there is.
--- a/src/main/java/baymoor/north/RespClient.java
+++ b/src/main/java/baymoor/north/RespClient.java
@@ -17,6 +17,17 @@
 /** One client's connection in RESP2: reads commands, and answers them in their order. */
 final class RespClient implements LinkEvents {
 
+    /**
+     * Seen: connections that say nothing, or half a command, and stay. What has not sent its first whole command by
+     * now, or has begun one and not ended it for so long, is closed.
+     */
+    private static final long COMMAND_MICROS = 1_500_000;
+    /** Between requests a connection may go after 2 s; while there is room it stays longer. */
+    private static final long CROWDED_IDLE_MICROS = 2_000_000;
+    private static final long IDLE_MICROS = 15_000_000;
+    /** Who takes nothing of its answers for so long, or does not end a connection that is over, is cut off. */
+    private static final long STUCK_MICROS = 5_000_000;
+    private static final long PARTING_MICROS = 1_000_000;
     private static final int MOST_OWED = 128;
     private static final int MOST_UNWRITTEN = 16;
     private static final long COME_BACK_MICROS = 1_000_000;
@@ -32,10 +43,43 @@
     private boolean extra;
     private boolean stopped;
     private boolean paused;
+    private boolean spoken;
+    /** When this connection last got on: came up, brought a whole command, sent an answer, or was ended. */
+    private long movedMicros;
+    /** Since when it lacks the end of a command. */
+    private long partMicros;
 
     RespClient(North north, Link link) {
         this.north = north;
         this.link = link;
+        movedMicros = north.time.now();
+        partMicros = movedMicros;
+    }
+
+    boolean spoken() {
+        return spoken;
+    }
+
+    /** Whether nothing whole ever came, for longer than a client's first request is on its way. */
+    boolean silent(long micros) {
+        return !spoken && !stopped && !link.unread() && north.time.now() - movedMicros > micros;
+    }
+
+    /** Closes the connection if it has waited too long for what does not come. */
+    void look(boolean crowded) {
+        long now = north.time.now();
+        boolean half = !stopped && !paused && !link.unread() && (!spoken || reader.pending());
+        if (stopped ? row.isEmpty() && now - movedMicros > PARTING_MICROS
+                : unwritten > 0 && now - movedMicros > STUCK_MICROS) {
+            north.counters.add(Count.CLIENTS_STUCK);
+            link.close();
+        } else if (half && now - partMicros > COMMAND_MICROS) {
+            north.counters.add(Count.CLIENTS_SILENT);
+            end(RespWriter.error("ERR no whole command in time"));
+        } else if (quiet() && !stopped && now - movedMicros > (crowded ? CROWDED_IDLE_MICROS : IDLE_MICROS)) {
+            north.counters.add(Count.CLIENTS_IDLE);
+            leave();
+        }
     }
 
     boolean quiet() {
@@ -44,7 +88,7 @@
 
     /** Whether every answer has left and no command is on its way in. */
     boolean settled() {
-        return unwritten == 0 && !link.unread() && !reader.pending();
+        return unwritten == 0 && (stopped || !link.unread() && !reader.pending());
     }
 
     /** There are too many connections, all of them busy: the first request here is turned away, then it is closed. */
@@ -53,10 +97,25 @@
     }
 
     void leave() {
-        stopped = true;
+        stop();
+        movedMicros = north.time.now();
         link.closeWhenWritten();
     }
 
+    /** Reads nothing more: seen was a client that sends 60 MB on, whatever it is told. */
+    private void stop() {
+        if (!stopped) {
+            stopped = true;
+            link.reading(false);
+        }
+    }
+
+    /** Answers once more, and closes once that has left. */
+    private void end(byte[] answer) {
+        stop();
+        atOnce(answer);
+    }
+
     @Override
     public void opened() {
         // A client speaks first.
@@ -68,6 +127,7 @@
             return;
         }
         north.used(this);
+        partMicros = reader.pending() ? partMicros : north.time.now();
         reader.feed(bytes);
         readOn();
     }
@@ -79,14 +139,16 @@
                 if (command == null) {
                     break;
                 }
+                spoken = true;
+                movedMicros = north.time.now();
+                partMicros = movedMicros;
                 take(((Resp.Many) command).items().stream().map(word -> ((Resp.Bulk) word).bytes()).toList());
             }
         } catch (RespException e) {
             north.counters.add(Count.COMMANDS_BAD);
-            stopped = true;
-            atOnce(RespWriter.error("ERR Protocol error: " + e.getMessage()));
+            end(RespWriter.error("ERR Protocol error: " + e.getMessage()));
         }
-        if (full() != paused) {
+        if (!stopped && full() != paused) {
             paused = !paused;
             link.reading(!paused);
         }
@@ -135,8 +197,16 @@
             bad(e.getMessage());
             return;
         }
-        if (north.full(request) || extra) {
-            stopped |= extra;
+        if (north.open(request.id())) {
+            // Seen: the id of another client's request that is open. One of the two would get the other's answer.
+            bad("id is in use");
+            return;
+        }
+        if (extra) {
+            end(RespWriter.error(busy(COME_BACK_MICROS)));
+            return;
+        }
+        if (north.full(request)) {
             atOnce(RespWriter.error(busy(COME_BACK_MICROS)));
             return;
         }
@@ -165,10 +235,10 @@
 
     private void flush() {
         while (!row.isEmpty() && row.peekFirst().answer != null) {
-            unwritten++;
+            movedMicros = unwritten++ == 0 && !stopped ? north.time.now() : movedMicros;
             link.write(row.pollFirst().answer);
         }
-        if (row.isEmpty() && (stopped || north.draining() && !reader.pending())) {
+        if (row.isEmpty() && (stopped || north.draining() && quiet())) {
             leave();
         } else {
             resume();
@@ -178,11 +248,12 @@
     @Override
     public void written() {
         unwritten--;
+        movedMicros = stopped ? movedMicros : north.time.now();
         resume();
     }
 
     private void resume() {
-        if (paused && row.size() < MOST_OWED / 2 && unwritten < MOST_UNWRITTEN / 2) {
+        if (paused && !stopped && row.size() < MOST_OWED / 2 && unwritten < MOST_UNWRITTEN / 2) {
             readOn();
         }
     }
--- a/src/test/java/baymoor/north/NorthTest.java
+++ b/src/test/java/baymoor/north/NorthTest.java
@@ -29,6 +29,11 @@
         public void gone(long ticket) {
             gone.add(ticket);
         }
+
+        @Override
+        public boolean open(String id) {
+            return id.equals("open");
+        }
     }, 2, 200, () -> "requests:1\n");
 
     @Before
@@ -64,6 +69,12 @@
             {command("OBJ.GET", "k", "i", "c=read,d=5,oops"), "-ERR malformed list of names and values\r\n"},
             {command("OBJ.GET", "k", "i\r\nX-Evil: 1", "c=read,d=5"), "-ERR malformed id\r\n"},
             {command("OBJ.GET", "", "i", "c=read,d=5"), "-ERR malformed key\r\n"},
+            {command("OBJ.GET", "k", "", "c=read,d=5"), "-ERR malformed id\r\n"},
+            {command("OBJ.GET", "k", "i", "c=read,d=0x1p9"), "-ERR d is not a number\r\n"},
+            {command("OBJ.GET", "k", "i", "c=read,d=480d"), "-ERR d is not a number\r\n"},
+            {command("OBJ.GET", "k", "i", "c=read,d=NaN"), "-ERR d is not a number\r\n"},
+            {command("OBJ.GET", "k", "i", "c=read,d=-5"), "-ERR d is missing or out of range\r\n"},
+            {get("open"), "-ERR id is in use\r\n"},
         };
         for (String[] c : cases) {
             link.in(c[0]);
@@ -125,12 +136,83 @@
     public void pastTheBoundTheClientIdleLongestIsClosed() {
         FakeLink second = new FakeLink();
         second.events = north.client(second);
+        second.in(command("PING"));
         link.in(command("PING"));
         north.client(new FakeLink());
         assertTrue(second.closed);
         assertFalse(link.closed);
     }
 
+    private FakeLink other() {
+        FakeLink other = new FakeLink();
+        other.leaves = true;
+        other.events = north.client(other);
+        return other;
+    }
+
+    @Test
+    public void whoNeverSendsAWholeCommandIsToldSoAndClosed() {
+        FakeLink half = other();
+        half.in("*4\r\n$7\r\nOBJ");
+        time.pass(1_000_000);
+        half.in(".G");
+        time.pass(400_000);
+        assertFalse(link.closed || half.closed);
+        time.pass(400_000);
+        assertTrue(link.closed && half.closed);
+        assertEquals("-ERR no whole command in time\r\n", half.takeOut());
+    }
+
+    @Test
+    public void aHalfCommandBehindAnAnsweredOneIsNotWaitedForEither() {
+        link.in(command("PING") + "*4\r\n$7\r\n");
+        link.takeOut();
+        time.pass(2_000_000);
+        assertEquals("-ERR no whole command in time\r\n", link.takeOut());
+        assertTrue(link.closed);
+    }
+
+    @Test
+    public void anIdleConnectionGoesSoonerInACrowdAndOneWithAnOpenRequestStays() {
+        link.in(get("a"));
+        FakeLink idle = other();
+        idle.in(command("PING"));
+        time.pass(300_000);
+        north.answer(1, new Answer.Failed());
+        link.in(command("OBJ.GET", "0a", "b", "c=read,t=x,d=9000"));
+        time.pass(1_500_000);
+        assertFalse(idle.closed);
+        time.pass(700_000);
+        assertTrue(idle.closed);
+        time.pass(5_000_000);
+        assertFalse(link.closed);
+    }
+
+    @Test
+    public void whoIsOverIsReadNoFurtherAndCutOffIfItStays() {
+        link.leaves = false;
+        link.in("nonsense\r\n");
+        assertFalse(link.reading);
+        link.closed = false;
+        time.pass(1_300_000);
+        assertTrue(link.closed);
+        FakeLink deaf = other();
+        deaf.leaves = false;
+        deaf.in(command("PING"));
+        time.pass(5_300_000);
+        assertTrue(deaf.closed);
+    }
+
+    @Test
+    public void pastTheBoundWhatNeverSpokeGoesBeforeWhatIsIdle() {
+        link.in(command("PING"));
+        FakeLink silent = other();
+        time.pass(400_000);
+        other();
+        assertTrue(silent.closed);
+        assertFalse(link.closed);
+    }
+
     @Test
     public void whoSendsFasterThanItIsAnsweredWaits() {
         for (int i = 0; i < 130; i++) {
