--- a/src/main/java/baymoor/net/MinaNet.java
+++ b/src/main/java/baymoor/net/MinaNet.java
@@ -51,12 +51,13 @@
         config.setIdleTime(IdleStatus.BOTH_IDLE, 0);
     }
 
-    /** Listens for clients. */
-    public void listen(InetSocketAddress address, Function<Link, LinkEvents> clients) throws IOException {
+    /** Listens for clients, and gives the address that it got. */
+    public InetSocketAddress listen(InetSocketAddress address, Function<Link, LinkEvents> clients) throws IOException {
         acceptor.setHandler(new Handler(clients));
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(BACKLOG);
         acceptor.bind(address);
+        return acceptor.getLocalAddress();
     }
 
     /** Takes no further connections; those there are stay. */
@@ -65,8 +66,8 @@
         acceptor.unbind();
     }
 
-    /** Receives datagrams at an address; they are sent from there too. */
-    public void listenToPeers(InetSocketAddress address, BiConsumer<InetSocketAddress, byte[]> received)
+    /** Receives datagrams at an address, which it gives back; they are sent from there too. */
+    public InetSocketAddress listenToPeers(InetSocketAddress address, BiConsumer<InetSocketAddress, byte[]> received)
             throws IOException {
         datagrams = new NioDatagramAcceptor();
         datagrams.getSessionConfig().setReuseAddress(true);
@@ -84,8 +85,9 @@
                 session.closeNow();
             }
         });
-        peerAddress = address;
         datagrams.bind(address);
+        peerAddress = datagrams.getLocalAddress();
+        return peerAddress;
     }
 
     @Override
--- a/src/main/java/baymoor/serve/Main.java
+++ b/src/main/java/baymoor/serve/Main.java
@@ -5,22 +5,32 @@
 import baymoor.config.Settings;
 import java.io.IOException;
 
-/** Command line entry: {@code serve} runs one balancer in the foreground until SIGTERM. */
+/**
+ * Command line entry: {@code serve} runs one balancer in the foreground until SIGTERM; {@code rehearse} is what the
+ * build runs to learn which classes that takes.
+ */
 public final class Main {
 
     private static final int USAGE = 2;
     private static final int CANNOT_START = 1;
+    private static final int REHEARSED = 600;
 
     private Main() { }
 
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("serve")) {
+        boolean rehearse = args.length == 1 && args[0].equals("rehearse");
+        if (!rehearse && (args.length != 1 || !args[0].equals("serve"))) {
             System.err.println("usage: java -jar baymoor.jar serve");
             System.exit(USAGE);
         }
         try {
             Settings settings = Config.read(System.getenv());
+            if (rehearse) {
+                Rehearsal.full(settings, REHEARSED);
+                System.exit(0);
+            }
             Balancer balancer = new Balancer(settings, line -> System.err.println(settings.name() + ": " + line));
+            Rehearsal.play(settings.module(), REHEARSED);
             Hangup.handle(() -> reload(balancer, settings.name()));
             balancer.start();
             Runtime.getRuntime().addShutdownHook(new Thread(balancer::drain, "drain"));
