--- a/src/main/java/baymoor/serve/Main.java
+++ b/src/main/java/baymoor/serve/Main.java
@@ -13,7 +13,7 @@
 
     private static final int USAGE = 2;
     private static final int CANNOT_START = 1;
-    private static final int REHEARSED = 600;
+    private static final int REHEARSED = 250;
 
     private Main() { }
 
