Leave out caches that fail most requests; refuse untried requests early; forget gone hosts

Requests never tried were refused past half of their time. Every router that was ever listed stayed in Inventory, South and the ids (Inventory.ids, entries; South.hosts).

--- a/src/main/java/baymoor/inventory/Inventory.java
+++ b/src/main/java/baymoor/inventory/Inventory.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongPredicate;
 import java.util.function.LongUnaryOperator;
 import merlinstep.Decisions.ListKind;
 import merlinstep.Decisions.Server;
@@ -34,7 +35,6 @@
 
     private final LongUnaryOperator sinceMillisToMicros;
     private final Counters counters;
-    private final Map<String, Long> ids = new HashMap<>();
     private final Map<Long, Entry> entries = new HashMap<>();
     private long version;
 
@@ -53,6 +53,14 @@
         return entries.get(id);
     }
 
+    /**
+     * Drops the hosts that are gone and of no more use. Seen: routers replaced all day by new ones under new names, each
+     * of which would stay here for good.
+     */
+    public void forget(LongPredicate inUse) {
+        entries.values().removeIf(e -> e.state() == State.GONE && !inUse.test(e.id()));
+    }
+
     /** Takes the list that the configuration holds. */
     public ServerList known(JSONObject object) {
         return take(object, ListKind.LAST_KNOWN);
@@ -112,7 +120,7 @@
         if (name.isEmpty() || name.length() > LONGEST_NAME) {
             throw new JSONException("name is empty or too long");
         }
-        return ids.computeIfAbsent(name, Inventory::hash);
+        return hash(name);
     }
 
     /** 63 bits of a digest: every balancer gets the same id for a name, and two names never share one. */
--- a/src/main/java/baymoor/serve/Balancer.java
+++ b/src/main/java/baymoor/serve/Balancer.java
@@ -65,7 +65,10 @@
         South south = new South(net, thread, counters, inventory::entry, listed ? module.kinds().get(kind) : null,
                 fields, module.limits(), half, dispatcher);
         discovery = new Discovery(settings.discovery(), net, thread, inventory, counters,
-                dispatcher::listed);
+                list -> {
+                    dispatcher.listed(list);
+                    inventory.forget(south::uses);
+                });
         peers = new Peers(settings.peers(), settings.peersAll(), net, counters, dispatcher::heard);
         dispatcher.connect(north, south, discovery, peers);
     }
--- a/src/main/java/baymoor/south/South.java
+++ b/src/main/java/baymoor/south/South.java
@@ -114,13 +114,22 @@
     /** The inventory has changed: idle connections to hosts that take nothing new are of no use. */
     public void listed() {
         for (Host host : hosts.values()) {
-            Inventory.Entry entry = inventory.apply(host.id);
-            if (entry == null || entry.state() != State.RUNNING) {
+            if (!runs(host)) {
                 host.closeIdle();
             }
         }
     }
 
+    private boolean runs(Host host) {
+        Inventory.Entry entry = inventory.apply(host.id);
+        return entry != null && entry.state() == State.RUNNING;
+    }
+
+    /** Whether something is out or queued for a host, or a connection to it still open. */
+    public boolean uses(long id) {
+        return hosts.containsKey(id);
+    }
+
     private void giveUp(Relay relay, Outcome outcome) {
         if (relay.over) {
             return;
@@ -148,8 +157,7 @@
 
     /** Whether a relay may still begin at a host: not where it drains or is gone by now. */
     boolean mayStart(Relay relay) {
-        Inventory.Entry entry = inventory.apply(relay.host.id);
-        return entry != null && entry.state() == State.RUNNING && time.now() < relay.untilMicros;
+        return runs(relay.host) && time.now() < relay.untilMicros;
     }
 
     /** Finds connections for what waits at a host: idle ones first, then new ones within the bound. */
@@ -228,6 +236,8 @@
 
     private void sweep() {
         time.after(SWEEP_MICROS, this::sweep);
+        listed();
+        hosts.values().removeIf(h -> !runs(h) && h.lanes == 0 && h.waiting.isEmpty());
         for (Host host : hosts.values()) {
             for (Lane lane : host.idle.toArray(new Lane[0])) {
                 if (time.now() - lane.idleSinceMicros > idleMicros) {
--- a/src/main/java/merlinstep/Cache.java
+++ b/src/main/java/merlinstep/Cache.java
@@ -8,7 +8,7 @@
     Area area;
     int cell, outstanding, unanswered;
     boolean running, suspect;
-    double size, sent, taken, tokens;
+    double size, sent, taken, tokens, failing;
     double part = 1;
     double limit = Rules.FIRST_LIMIT;
     long gapMicros, closedUntilMicros;
@@ -28,6 +28,7 @@
         cell = server.cell();
         size = server.size();
         unanswered = server.startedMicros() == startedMicros ? unanswered : 0;
+        failing = server.startedMicros() == startedMicros ? failing : 0;
         startedMicros = server.startedMicros();
         running = server.state() == Decisions.State.RUNNING;
     }
@@ -47,9 +48,12 @@
         quietSinceMicros = nowMicros;
         area.heardMicros = nowMicros;
         area.down = false;
-        restore();
+        if (failing < Rules.DOUBTFUL) restore();
     }
 
+    /** Moves the part of its answers that are errors. */
+    void answered(boolean failed) { failing += ((failed ? 1 : 0) - failing) / Rules.ANSWERS_SEEN; }
+
     void suspect() {
         area.suspects += suspect ? 0 : 1;
         suspect = true;
--- a/src/main/java/merlinstep/Job.java
+++ b/src/main/java/merlinstep/Job.java
@@ -16,7 +16,7 @@
     int attempts;
     int spread = 1;
     boolean askedAgain, served;
-    Cache at, ranAt, missedAt, home, parkedFor;
+    Cache at, ranAt, missedAt, home, parkedFor, shunned;
     Waiting waiting;
 
     Job(Request request, RequestClass kind, long now) {
@@ -26,6 +26,12 @@
         arrivedMicros = now;
     }
 
+    /** A refusal in the later half of the time costs the client that wait for nothing, unless something was tried. */
+    long heldUntilMicros() {
+        long half = arrivedMicros + (request.deadlineMicros() - arrivedMicros) / 2;
+        return attempts == 0 ? Math.min(half, usefulUntilMicros) : usefulUntilMicros;
+    }
+
     /** Requests that wait for one key; at most one of them, the leader, fetches it or asks the cache again. */
     static final class Waiting {
         final long key;
--- a/src/main/java/merlinstep/Rules.java
+++ b/src/main/java/merlinstep/Rules.java
@@ -43,6 +43,10 @@
     static final double LIMIT_CUT = 0.85; // of that limit after an answer slower than half its aim
     static final int SILENT_ATTEMPTS = 3; // unanswered ones that put a cache in doubt: not bad luck
     static final double SILENT_LATENCIES = 3; // mean latencies of silence that prove it
+    static final double FAILING = 0.5; // errors among its answers that put a cache out of use: most fail
+    static final double DOUBTFUL = 0.25; // a failed request goes to another cache; below, its value is there
+    static final int ANSWERS_SEEN = 8; // answers over which that part is taken: a second's at a small cache
+    static final double DOUBTFUL_LATENCIES = 2; // mean latencies that a server in doubt is given: most answer
     static final double FALL_PART = 0.5; // of the multiple at which a cold cache falls, for all balancers
     static final long TRIAL_MICROS = 500_000; // between trials of a server out of use, doubling
     static final double TRIAL_CROWD = 8; // balancers whose trials a cold cache bears; more try less often
@@ -534,13 +538,13 @@
         }
 
         /** The cache for a key: its slot's first, or of {@code spread} the least busy; null to wait. */
-        Cache pick(long key, int spread) {
+        Cache pick(long key, int spread, Cache shunned) {
             int slot = (int) (Hash.mix(key) & SLOTS - 1);
             int found = 0, ties = 0;
             Cache best = null, last = null;
             for (int r = 0; r < RANKED && found < spread; r++) {
                 Cache c = ranked[slot * RANKED + r];
-                if (c == null || out(c) && !trial(c)) continue;
+                if (c == null || c == shunned || out(c) && !trial(c)) continue;
                 if (out(c)) return c;
                 last = c;
                 // A part of the slots, not of time: the same ones at every balancer, and few move.
@@ -573,6 +577,8 @@
             c.outstanding = Math.max(0, c.outstanding - 1);
             boolean silent = outcome == Outcome.TIMED_OUT || outcome == Outcome.NOT_CONNECTED;
             boolean served = outcome == Outcome.SERVED;
+            boolean failed = outcome == Outcome.ERROR || outcome == Outcome.RESET;
+            if (!c.origin && (failed || served || outcome == Outcome.MISS)) c.answered(failed);
             boolean late = outcome == Outcome.TIMED_OUT || served && latencyMicros > aimMicros / 2;
             if ((late || outcome == Outcome.FULL) && now >= c.limitCutMicros) {
                 c.limitCutMicros = now + latencyMicros;
@@ -597,10 +603,16 @@
                 if (c.area.down) for (Cache other : caches) if (other.area == c.area) other.restore();
                 c.heard(now);
                 heardMicros = now;
+                if (c.suspect && !failed) c.trialMicros = now; // one more trial tells whether it serves again
+                // Danger: one that fails at once looks idle, and draws its requests till their tries end.
+                if (failed && c.failing > FAILING && !c.origin && mostWell()) suspect(c);
                 if (served && !c.origin) hitMicros += (latencyMicros - hitMicros) / 64;
             }
         }
 
+        /** Errors everywhere are no server's own: out of use, they would only crowd the rest. */
+        private boolean mostWell() { return caches.stream().filter(this::out).count() < caches.size() / 2; }
+
         /** Danger: trials of many balancers, in step, would push a cache over when it is back. */
         private void delayTrial(Cache c) {
             double times = Math.max(1, settings.balancers() / TRIAL_CROWD) * (0.5 + random.nextDouble() / 2);
@@ -609,7 +621,7 @@
 
         private void suspect(Cache c) {
             if (c.suspect) c.trialGapMicros = Math.min(2 * c.trialGapMicros, MAX_TRIAL_MICROS);
-            else log("server " + c.id + " does not answer: out of use");
+            else log("server " + c.id + (c.failing > FAILING ? " fails" : " is silent") + ": out of use");
             c.suspect();
             delayTrial(c);
             // Danger: behind a cut link every server would have to fail by itself, one time-out each.
@@ -675,7 +687,7 @@
 
         /** Danger: a client's last try may have less time left than to the next tick, and be lost. */
         void answerIfDue(Job job) {
-            boolean due = job.usefulUntilMicros < now + ledger.subperiodMicros + settings.tickMicros();
+            boolean due = job.heldUntilMicros() < now + ledger.subperiodMicros + settings.tickMicros();
             if (due && job.at == null) attempts.finish(job);
         }
 
@@ -763,7 +775,7 @@
                 double last = w.leader == null ? fetch : until;
                 for (Job j : w.jobs) if (j != w.leader && j.usefulUntilMicros < last) late.add(j);
             }
-            for (Job j : writes) if (j.usefulUntilMicros < fetch) late.add(j);
+            for (Job j : writes) if (j.heldUntilMicros() < fetch) late.add(j);
             for (Job j : late) attempts.finish(j);
             List<Job> again = new ArrayList<>(parked);
             again.sort(Held::before);
@@ -797,14 +809,18 @@
         void ask(Job job) {
             // A wait for a quarter of the time there is makes the next cache of the slot worth a fetch.
             boolean waited = now - job.arrivedMicros > (job.usefulUntilMicros - job.arrivedMicros) / 4;
-            Cache c = slots.usable(job.home) ? job.home : slots.pick(job.key, job.spread + (waited ? 1 : 0));
+            int spread = job.spread + (waited ? 1 : 0);
+            Cache c = slots.usable(job.home) ? job.home : slots.pick(job.key, spread, job.shunned);
             job.home = null;
             if (c == null) {
                 job.parkedFor = slots.ranked[(int) (Hash.mix(job.key) & SLOTS - 1) * RANKED];
                 held.hold(job, held.parked);
             } else {
                 boolean doubtful = slots.out(c) || c.unanswered >= SILENT_ATTEMPTS;
-                send(job, c, doubtful ? Math.max(1, (job.usefulUntilMicros - now) / 3) : 0);
+                // Danger: less than an answer takes, and none that is back could ever show it.
+                double least = DOUBTFUL_LATENCIES * slots.hitMicros;
+                long third = (long) Math.max(least, (job.usefulUntilMicros - now) / 3.0);
+                send(job, c, doubtful ? Math.max(1, Math.min(third, job.usefulUntilMicros - now)) : 0);
             }
         }
 
@@ -872,6 +888,7 @@
                 held.remove(job);
                 job.waiting = null;
                 job.parkedFor = at;
+                job.shunned = at.failing > DOUBTFUL ? at : null;
                 // Danger: asking on at once after a full answer is a storm that fills every cache.
                 if (!maySend(job, at)) finish(job);
                 else if (at.origin) held.hold(job, held.writes);
--- a/src/test/java/baymoor/inventory/InventoryTest.java
+++ b/src/test/java/baymoor/inventory/InventoryTest.java
@@ -79,6 +79,17 @@
         assertEquals(State.GONE, inventory.entry(a).state());
     }
 
+    @Test
+    public void whoIsGoneIsForgottenOnceNothingUsesIt() {
+        long a = inventory.told(list(1, true, entry("s-a", "in_service", 0))).servers().get(0).id();
+        inventory.told(list(2, true, entry("s-b", "in_service", 0)));
+        inventory.forget(id -> id == a);
+        assertEquals(State.GONE, inventory.entry(a).state());
+        inventory.forget(id -> false);
+        assertEquals(null, inventory.entry(a));
+        assertEquals(State.RUNNING, inventory.entry(Inventory.hash("s-b")).state());
+    }
+
     @Test
     public void anEntryThatCannotBeReadCostsNoOtherOne() {
         String odd = entry("s-b", "dancing", 0) + "," + entry("", "in_service", 0) + ",7,"
--- a/src/test/java/baymoor/south/SouthTest.java
+++ b/src/test/java/baymoor/south/SouthTest.java
@@ -258,6 +258,21 @@
         assertEquals("r NOT_SENT", ends());
     }
 
+    @Test
+    public void aHostThatIsGoneIsForgottenAndItsConnectionNeverServesTheNextOneAtItsAddress() {
+        FakeLink link = sendAndWrite("r", ROUTER);
+        list(ROUTER, "two-core", State.GONE);
+        inventory.put(3L, new Inventory.Entry(3, new InetSocketAddress("127.0.0.1", 1), "two-core", State.RUNNING));
+        FakeLink next = send("s", 3, null);
+        assertTrue("a connection of its own", next != null);
+        time.pass(1_000_000);
+        assertTrue("its relay is still out", south.uses(ROUTER));
+        link.events.closed();
+        time.pass(1_000_000);
+        assertFalse(south.uses(ROUTER));
+        assertTrue(south.uses(3));
+    }
+
     @Test
     public void pastTheBoundRelaysWaitForAConnection() {
         south = south(1);
--- a/src/test/java/merlinstep/RulesTest.java
+++ b/src/test/java/merlinstep/RulesTest.java
@@ -187,6 +187,37 @@
         assertEquals(2, onlySend(t.end(stuck.get(0), Outcome.CANCELLED)).server());
     }
 
+    @Test
+    void aCacheThatFailsMostRequestsIsLeftAndUsedAgainWhenItServes() {
+        // Danger: it answers at once and so looks idle; seen were requests that spent all their tries on it.
+        Timeline t = Timeline.with(0, 1, 4);
+        int[] asked = new int[2];
+        for (int i = 0; i < 1_200; i++) {
+            boolean well = i >= 400;
+            List<Send> sends = sends(t.read("r" + i, Hash.mix(i + 1)));
+            for (int tries = 0; !sends.isEmpty() && tries < 6; tries++) {
+                boolean bad = sends.get(0).server() == 1;
+                asked[well ? 1 : 0] += bad ? 1 : 0;
+                sends = sends(t.end(sends.get(0), bad && !well ? Outcome.ERROR : Outcome.SERVED));
+            }
+            t.pass(20_000);
+        }
+        assertTrue(asked[0] < 40, asked[0] + " of 400 requests tried it while it failed");
+        assertTrue(asked[1] > 100, asked[1] + " of 800 requests tried it when it was well");
+    }
+
+    @Test
+    void whatWasNeverTriedIsRefusedWithinHalfOfItsTime() {
+        // Danger: a client that waited longer for a refusal, with nothing tried, has lost that time too.
+        Timeline t = Timeline.with(0, 1, 1);
+        for (int i = 0; i < 16; i++) {
+            onlySend(t.read("out" + i, i));
+        }
+        assertEquals(List.of(), sends(t.read("parked", 99)));
+        assertEquals(1, of(t.pass(700_000), Refuse.class).stream()
+                .filter(r -> r.request().equals("parked")).count());
+    }
+
     /** A key whose slot belongs to this one of two caches. */
     private static long keyOf(long server) {
         for (int i = 1;; i++) {
