Scale waits, gaps and trials with short aims

A cache that was full is closed for up to 1.5 s, a trial comes every 0.5 s, a tick every 50 ms, all fitted to aims of 750 ms; a trace of the module shows caches closed for seven aims at a time, 20 to 28 requests parked. Now these times go with the shortest aim (pace), and are as they were from 750 ms on.

--- a/src/main/java/merlinstep/Rules.java
+++ b/src/main/java/merlinstep/Rules.java
@@ -22,6 +22,7 @@
     // Constants, with unit and reason; what can follow from settings or be observed is not among them.
     static final long PERIOD_MICROS = 1_000_000; // T: quotas and the paper's evaluation go by the second
     static final long MIN_SUBPERIOD_MICROS = 50_000; // a far round trip: nothing told is fresher
+    static final double AIM_MICROS = 750_000; // aim to which waits, gaps and trials below are fitted
     static final double PEER_CPU_PART = 0.1; // part of the CPU allowance for reading peer messages
     static final double PEER_MESSAGE_CPU_MICROS = 4; // what reading one costs, a guess not measured yet
     static final double SPEED = 1e8; // V, micros of work a second: a hundred cores, so requests weigh a bit
@@ -46,7 +47,7 @@
     static final double FAILING = 0.5; // errors among its answers that put a cache out of use: most fail
     static final double DOUBTFUL = 0.25; // a failed request goes to another cache; below, its value is there
     static final int ANSWERS_SEEN = 8; // answers over which that part is taken: a second's at a small cache
-    static final double DOUBTFUL_LATENCIES = 2; // mean latencies that a server in doubt is given: most answer
+    static final double DOUBTFUL_LATENCIES = 1.25; // mean latencies that a server in doubt is given at least
     static final double FALL_PART = 0.5; // of the multiple at which a cold cache falls, for all balancers
     static final long TRIAL_MICROS = 500_000; // between trials of a server out of use, doubling
     static final double TRIAL_CROWD = 8; // balancers whose trials a cold cache bears; more try less often
@@ -61,6 +62,8 @@
     private final Random random;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private final long shortestAimMicros;
+    /** Aims against those that the times above were chosen for: shorter ones leave less time to find out. */
+    private final double pace;
     private final boolean aside;
     private final int maxAttempts;
     private Sink out;
@@ -84,6 +87,7 @@
             shortest = Math.min(shortest, c.aimMicros() > 0 ? c.aimMicros() : c.deadlineMicros());
         }
         shortestAimMicros = shortest == Long.MAX_VALUE ? PERIOD_MICROS : shortest;
+        pace = Math.min(1, shortestAimMicros / AIM_MICROS);
         aside = settings.origin().mode() == Mode.ASIDE;
         maxAttempts = settings.limits().maxAttempts();
         ledger = new Ledger();
@@ -148,7 +152,7 @@
             // With B balancers each reads B - 1 messages a subperiod, so that it grows with B.
             double each = cpu > 0 ? 1e6 * PEER_MESSAGE_CPU_MICROS / (PEER_CPU_PART * cpu) : 0;
             double micros = each * (settings.balancers() - 1);
-            micros = Math.max(Math.max(micros, MIN_SUBPERIOD_MICROS), settings.tickMicros());
+            micros = Math.max(Math.max(micros, pace * MIN_SUBPERIOD_MICROS), settings.tickMicros());
             subperiods = Math.max(2, (int) (PERIOD_MICROS / micros));
             subperiodMicros = PERIOD_MICROS / subperiods;
         }
@@ -565,7 +569,7 @@
         /** Whether a request may try a server out of use: one now and then, so that its return is noticed. */
         boolean trial(Cache c) {
             if (now < (c.area.down ? c.area.trialMicros : c.trialMicros)) return false;
-            c.area.trialMicros = now + TRIAL_MICROS;
+            c.area.trialMicros = now + (long) (pace * TRIAL_MICROS);
             delayTrial(c);
             return true;
         }
@@ -590,7 +594,7 @@
             c.taken += served ? 1 : outcome == Outcome.MISS ? MISS_COST : 0;
             if (outcome == Outcome.MISS) c.sent -= Math.min(c.sent, 1 - MISS_COST);
             if (outcome == Outcome.FULL) {
-                c.gapMicros = (long) Math.min(PERIOD_MICROS, Math.max(2 * c.gapMicros, hitMicros / 4));
+                c.gapMicros = (long) Math.min(pace * PERIOD_MICROS, Math.max(2 * c.gapMicros, hitMicros / 4));
                 c.closedUntilMicros = now + (long) ((0.5 + random.nextDouble()) * c.gapMicros);
             }
             if (served) c.gapMicros /= 2;
@@ -616,7 +620,7 @@
         /** Danger: trials of many balancers, in step, would push a cache over when it is back. */
         private void delayTrial(Cache c) {
             double times = Math.max(1, settings.balancers() / TRIAL_CROWD) * (0.5 + random.nextDouble() / 2);
-            c.trialMicros = now + (long) (c.trialGapMicros * times);
+            c.trialMicros = now + (long) (pace * c.trialGapMicros * times);
         }
 
         private void suspect(Cache c) {
@@ -628,7 +632,7 @@
             boolean quiet = now - c.area.heardMicros > PERIOD_MICROS / 2;
             if (!c.area.down && quiet && c.area.suspects >= SILENT_ATTEMPTS) {
                 c.area.down = true;
-                c.area.trialMicros = now + TRIAL_MICROS;
+                c.area.trialMicros = now + (long) (pace * TRIAL_MICROS);
                 log("nothing answers in a whole zone: its servers are out of use");
             }
         }
