--- a/src/main/java/merlinstep/Rules.java
+++ b/src/main/java/merlinstep/Rules.java
@@ -541,6 +541,11 @@
             return c.outstanding < c.limit && now >= c.closedUntilMicros && (!cold(c) || c.tokens >= 1);
         }
 
+        /** Danger: one that turns away all, with nothing of ours there, keeps its keys waiting for it. */
+        private boolean shut(Cache c) {
+            return now < c.closedUntilMicros && c.outstanding == 0 && c.limit < 2;
+        }
+
         /** The cache for a key: its slot's first, or of {@code spread} the least busy; null to wait. */
         Cache pick(long key, int spread, Cache shunned) {
             int slot = (int) (Hash.mix(key) & SLOTS - 1);
@@ -554,6 +559,7 @@
                 // A part of the slots, not of time: the same ones at every balancer, and few move.
                 if ((Hash.mix(slot * 31L ^ c.id * 0x9e3779b97f4a7c15L) >>> 11) * 0x1p-53 >= c.part) continue;
                 if (cold(c) && c.tokens < 1) continue; // the next one takes what a cold cache can't
+                if (shut(c)) continue;
                 found++;
                 if (!room(c)) continue;
                 double busy = (c.sent + c.outstanding) / c.part;
@@ -581,7 +587,7 @@
             c.outstanding = Math.max(0, c.outstanding - 1);
             boolean silent = outcome == Outcome.TIMED_OUT || outcome == Outcome.NOT_CONNECTED;
             boolean served = outcome == Outcome.SERVED;
-            boolean failed = outcome == Outcome.ERROR || outcome == Outcome.RESET;
+            boolean failed = outcome == Outcome.ERROR; // a reset says more of the connection
             if (!c.origin && (failed || served || outcome == Outcome.MISS)) c.answered(failed);
             boolean late = outcome == Outcome.TIMED_OUT || served && latencyMicros > aimMicros / 2;
             if ((late || outcome == Outcome.FULL) && now >= c.limitCutMicros) {
--- a/src/test/java/merlinstep/RulesTest.java
+++ b/src/test/java/merlinstep/RulesTest.java
@@ -206,6 +206,21 @@
         assertTrue(asked[1] > 100, asked[1] + " of 800 requests tried it when it was well");
     }
 
+    @Test
+    void theKeysOfACacheThatTurnsAllAwayGoToTheNextOne() {
+        Timeline t = Timeline.with(0, 1, 2);
+        int turnedAway = 0;
+        for (int i = 0; i < 60; i++) {
+            for (Send send : sends(t.read("r" + i, Hash.mix(i + 1)))) {
+                turnedAway += send.server() == 1 ? 1 : 0;
+                t.end(send, send.server() == 1 ? Outcome.FULL : Outcome.SERVED);
+            }
+            t.pass(2_000);
+        }
+        assertTrue(turnedAway < 25, turnedAway + " turned away");
+        assertTrue(of(t.actions, Send.class).stream().filter(s -> s.server() == 2).count() >= 50, "the other serves");
+    }
+
     @Test
     void whatWasNeverTriedIsRefusedWithinHalfOfItsTime() {
         // Danger: a client that waited longer for a refusal, with nothing tried, has lost that time too.
