In a crowd a new client connection takes the place of one that rests

The counters show no refusal of ours, yet 2,114 of 2,479 client connections evicted; a probe of the client connections shows 72 to 130 of 160 that were served once and rest. Clients hold a third of the descriptors at most, so a crowd that asks and stays leaves the others none; idle ones went only after 2 s (RespClient.look), evictions began only at half of all (North.client). Now a connection past 55% of the bound takes the place of the one that has rested longest, 150 ms at least.

--- a/src/main/java/baymoor/north/North.java
+++ b/src/main/java/baymoor/north/North.java
@@ -21,6 +21,9 @@
     private static final long LOOK_MICROS = 250_000;
     /** A client's first request comes right behind its connection; one silent for longer is the first to go. */
     private static final long SILENT_MICROS = 300_000;
+    /** Clients hold up to a third of all descriptors, which is two thirds of the bound here: some less is room for all. */
+    private static final int ROOMY_PERCENT = 55;
+    private static final long RESTING_MICROS = 150_000;
     /** Connections past the bound that are told to come back; a crowd past these is closed unheard. */
     private static final int MOST_EXTRA = 16;
     /** Of the heap, so that it bears what else there is beside the values of writes. */
@@ -85,10 +88,20 @@
         clients.add(client);
         if (clients.size() > mostClients) {
             makeRoom(client);
+        } else if (clients.size() > mostClients * ROOMY_PERCENT / 100) {
+            // Seen: a crowd that asks and stays took all connections that clients may hold, and other clients' requests
+            // found none. One more than there is room for takes the place of the one idle longest, if that rests.
+            clients.stream().filter(c -> c.rests(RESTING_MICROS)).findFirst().ifPresent(this::evict);
         }
         return client;
     }
 
+    private void evict(RespClient client) {
+        counters.add(Count.CLIENTS_EVICTED);
+        clients.remove(client);
+        client.leave();
+    }
+
     /**
      * Descriptors are bounded. What never spoke goes first: seen were hundreds of silent connections, for which those
      * of clients at work would have gone. Then what has been quiet longest, which a client may expect between requests.
@@ -97,11 +110,7 @@
         clients.stream().filter(c -> c.silent(SILENT_MICROS)).findFirst()
                 .or(() -> clients.stream().filter(c -> c.spoken() && c.quiet()).findFirst())
                 .or(() -> clients.stream().filter(c -> c != newest && c.quiet()).findFirst())
-                .ifPresentOrElse(c -> {
-                    counters.add(Count.CLIENTS_EVICTED);
-                    clients.remove(c);
-                    c.leave();
-                }, () -> {
+                .ifPresentOrElse(this::evict, () -> {
                     if (clients.size() > mostClients + MOST_EXTRA) {
                         counters.add(Count.CLIENTS_EVICTED);
                         newest.leave();
--- a/src/main/java/baymoor/north/RespClient.java
+++ b/src/main/java/baymoor/north/RespClient.java
@@ -60,6 +60,11 @@
         return spoken;
     }
 
+    /** Whether it has been served and wants nothing for so long. */
+    boolean rests(long micros) {
+        return spoken && !stopped && quiet() && unwritten == 0 && north.time.now() - movedMicros > micros;
+    }
+
     /** Whether nothing whole ever came, for longer than a client's first request is on its way. */
     boolean silent(long micros) {
         return !spoken && !stopped && !link.unread() && north.time.now() - movedMicros > micros;
--- a/src/test/java/baymoor/north/NorthTest.java
+++ b/src/test/java/baymoor/north/NorthTest.java
@@ -203,6 +203,18 @@
         assertTrue(deaf.closed);
     }
 
+    @Test
+    public void nearTheBoundANewConnectionTakesThePlaceOfOneThatRests() {
+        link.in(command("PING"));
+        FakeLink busy = other();
+        busy.in(get("a"));
+        assertFalse("used a moment ago", link.closed);
+        time.pass(200_000);
+        FakeLink third = other();
+        assertTrue(link.closed);
+        assertFalse(busy.closed || third.closed);
+    }
+
     @Test
     public void pastTheBoundWhatNeverSpokeGoesBeforeWhatIsIdle() {
         link.in(command("PING"));
