--- a/src/main/java/baymoor/north/North.java
+++ b/src/main/java/baymoor/north/North.java
@@ -21,9 +21,9 @@
     private static final long LOOK_MICROS = 250_000;
     /** A client's first request comes right behind its connection; one silent for longer is the first to go. */
     private static final long SILENT_MICROS = 300_000;
-    /** Clients hold up to a third of all descriptors, which is two thirds of the bound here: some less is room for all. */
-    private static final int ROOMY_PERCENT = 55;
-    private static final long RESTING_MICROS = 150_000;
+    /** Clients hold up to a third of all descriptors, two thirds of the bound here: half of that is room for all. */
+    private static final int ROOMY_PERCENT = 30;
+    private static final long RESTING_MICROS = 100_000;
     /** Connections past the bound that are told to come back; a crowd past these is closed unheard. */
     private static final int MOST_EXTRA = 16;
     /** Of the heap, so that it bears what else there is beside the values of writes. */
