--- a/src/main/java/baymoor/serve/Rehearsal.java
+++ b/src/main/java/baymoor/serve/Rehearsal.java
@@ -69,10 +69,10 @@
                 .put("status", "in_service").toString();
     }
 
-    /** Plays so many requests, or for a second. */
-    static void play(Decisions.Settings module, int requests) {
+    /** Plays so many requests, or for a second; gives whether all were answered. */
+    static boolean play(Decisions.Settings module, int requests) {
         if (module.classes().isEmpty()) {
-            return;
+            return false;
         }
         Rehearsal rehearsal = new Rehearsal(module, requests);
         for (int i = 0; i < CLIENTS; i++) {
@@ -81,6 +81,7 @@
         new Thread(rehearsal.thread, "rehearsal").start();
         await(rehearsal.played);
         rehearsal.thread.stop();
+        return rehearsal.played.getCount() == 0;
     }
 
     private static void await(CountDownLatch latch) {
