--- a/src/main/java/baymoor/serve/Balancer.java
+++ b/balancer/src/main/java/baymoor/assembly/Assembly.java
@@ -1,27 +1,37 @@
-package baymoor.serve;
+package baymoor.assembly;
 
 import baymoor.config.Settings;
 import baymoor.counters.Counters;
 import baymoor.dispatch.Dispatcher;
 import baymoor.inventory.Discovery;
 import baymoor.inventory.Inventory;
-import baymoor.net.DecisionThread;
-import baymoor.net.MinaNet;
+import baymoor.link.Dialer;
+import baymoor.link.Link;
+import baymoor.link.LinkEvents;
+import baymoor.link.Time;
 import baymoor.north.North;
+import baymoor.peers.PeerLink;
 import baymoor.peers.Peers;
 import baymoor.south.South;
-import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Objects;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongUnaryOperator;
 import java.util.stream.Collectors;
 import merlinstep.Decisions;
 import org.json.JSONException;
 
-/** One balancer: its parts put together, its start and its end. */
-final class Balancer {
+/**
+ * One balancer without its sockets: all state machines put together round whatever clock and connections it is given.
+ * The serving program gives it MINA's and the system's; an emulator may give it others, and gets the same balancer.
+ * Every method belongs on the thread that the given {@link Time} runs its tasks on.
+ */
+public final class Assembly {
+
+    /** What the machine round a balancer gives it. */
+    public record Surroundings(Time time, Dialer dialer, PeerLink peers, LongUnaryOperator unixMillisToMicros,
+            long mostValueBytes, Counters counters, Consumer<String> log) { }
 
     /** Descriptors that are neither clients' nor hosts': listeners, selectors, discovery, files of the JVM. */
     private static final int OTHER_DESCRIPTORS = 64;
@@ -35,41 +45,38 @@
     private static final long LOOK_MICROS = 10_000;
 
     private final Settings settings;
-    private final Counters counters = new Counters();
+    private final Time time;
     private final Consumer<String> log;
-    private final DecisionThread thread;
-    private final MinaNet net;
+    private final Counters counters;
     private final North north;
     private final Dispatcher dispatcher;
     private final Inventory inventory;
     private final Discovery discovery;
     private final Peers peers;
-    private final CountDownLatch ended = new CountDownLatch(1);
 
-    Balancer(Settings settings, Consumer<String> log) {
+    public Assembly(Settings settings, Surroundings around) {
         this.settings = settings;
-        this.log = log;
+        time = around.time();
+        log = around.log();
+        counters = around.counters();
         Decisions.Settings module = settings.module();
-        thread = new DecisionThread(counters, log);
-        net = new MinaNet(thread);
-        dispatcher = new Dispatcher(Decisions.start(module), module.limits(), thread, counters, log);
-        long clocksApart = thread.read() - System.currentTimeMillis() * 1000;
-        inventory = new Inventory(sinceMillis -> sinceMillis * 1000 + clocksApart, counters);
+        dispatcher = new Dispatcher(Decisions.start(module), module.limits(), time, counters, log);
+        inventory = new Inventory(around.unixMillisToMicros(), counters);
         int half = (settings.sockets() - OTHER_DESCRIPTORS) / 2;
-        north = new North(thread, counters, module.classes().stream().map(Decisions.RequestClass::name)
-                .collect(Collectors.toSet()), dispatcher, half,
-                most(module.limits().maxOpen()), counters::report);
+        north = new North(time, counters, module.classes().stream().map(Decisions.RequestClass::name)
+                .collect(Collectors.toSet()), dispatcher, half, most(module.limits().maxOpen()),
+                around.mostValueBytes(), counters::report);
         int kind = module.origin().kind();
         boolean listed = module.origin().mode() == Decisions.Mode.ASIDE && kind >= 0 && kind < module.kinds().size();
         List<String> fields = module.reports() == Decisions.Reports.NONE ? List.of() : module.reportFields();
-        South south = new South(net, thread, counters, inventory::entry, listed ? module.kinds().get(kind) : null,
-                fields, module.limits(), half, dispatcher);
-        discovery = new Discovery(settings.discovery(), net, thread, inventory, counters,
+        South south = new South(around.dialer(), time, counters, inventory::entry,
+                listed ? module.kinds().get(kind) : null, fields, module.limits(), half, dispatcher);
+        discovery = new Discovery(settings.discovery(), around.dialer(), time, inventory, counters,
                 list -> {
                     dispatcher.listed(list);
                     inventory.forget(south::uses);
                 });
-        peers = new Peers(settings.peers(), settings.peersAll(), net, counters, dispatcher::heard);
+        peers = new Peers(settings.peers(), settings.peersAll(), around.peers(), counters, dispatcher::heard);
         dispatcher.connect(north, south, discovery, peers);
     }
 
@@ -78,18 +85,11 @@
         return open > 0 ? Math.min(open, MOST_OPEN) : MOST_OPEN;
     }
 
-    void start() throws IOException {
-        if (settings.peerListen() != null && settings.module().limits().mayTellPeers()) {
-            net.listenToPeers(settings.peerListen(), peers::received);
-        }
-        if (settings.known() != null) {
-            thread.post(this::takeKnown);
+    /** Takes the list that the configuration holds, if any. The first event of all. */
+    public void takeKnown() {
+        if (settings.known() == null) {
+            return;
         }
-        new Thread(thread, "decisions").start();
-        net.listen(settings.listen(), north::client);
-    }
-
-    private void takeKnown() {
         try {
             dispatcher.listed(inventory.known(settings.known()));
         } catch (JSONException e) {
@@ -97,8 +97,22 @@
         }
     }
 
+    /** A client has connected. */
+    public LinkEvents client(Link link) {
+        return north.client(link);
+    }
+
+    /** Another balancer's datagram has come in. */
+    public void heard(InetSocketAddress from, byte[] content) {
+        peers.received(from, content);
+    }
+
+    public Counters counters() {
+        return counters;
+    }
+
     /** Takes over what of a new configuration can change under load: where discovery is. The rest needs a new start. */
-    void reload(Settings fresh) {
+    public void reload(Settings fresh) {
         log.accept("config: read again, discovery at " + fresh.discovery());
         boolean same = fresh.name().equals(settings.name()) && fresh.listen().equals(settings.listen())
                 && fresh.sockets() == settings.sockets() && fresh.peers().equals(settings.peers())
@@ -107,39 +121,46 @@
         if (!same) {
             log.accept("config: a new name, listen, limits or peers take a restart; the old ones stay");
         }
-        thread.post(() -> discovery.move(fresh.discovery()));
+        discovery.move(fresh.discovery());
     }
 
-    /** Serves on for a while, then takes nothing new, answers all that was taken, and returns. */
-    void drain() {
+    /** The longest that {@link #drain} takes, in microseconds. */
+    public long mostDrainMicros() {
         long longest = settings.module().classes().stream().mapToLong(Decisions.RequestClass::deadlineMicros).max()
                 .orElse(0);
-        long most = Math.min(longest, LONGEST_DEADLINE_MICROS) + END_MICROS;
-        thread.post(() -> {
-            thread.after(ACCEPT_ON_MICROS, () -> {
-                north.drain();
-                new Thread(net::stopListening, "stop-listening").start();
-                thread.after(LOOK_MICROS, this::look);
-            });
-            thread.after(most, () -> {
-                north.failAll();
-                thread.after(LOOK_MICROS, ended::countDown);
-            });
+        return Math.min(longest, LONGEST_DEADLINE_MICROS) + END_MICROS;
+    }
+
+    /** Serves on for a while, then takes nothing new and answers all that was taken; {@code ended} follows once. */
+    public void drain(Runnable stopListening, Runnable ended) {
+        Runnable once = new Runnable() {
+            private boolean done;
+
+            @Override
+            public void run() {
+                if (!done) {
+                    done = true;
+                    ended.run();
+                }
+            }
+        };
+        time.after(ACCEPT_ON_MICROS, () -> {
+            north.drain();
+            stopListening.run();
+            time.after(LOOK_MICROS, () -> look(once));
+        });
+        time.after(mostDrainMicros(), () -> {
+            north.failAll();
+            time.after(LOOK_MICROS, once);
         });
-        try {
-            ended.await(most + ACCEPT_ON_MICROS, TimeUnit.MICROSECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        log.accept(counters.report().trim().replace('\n', ' '));
     }
 
-    private void look() {
+    private void look(Runnable ended) {
         if (north.quiet()) {
             // The last answer may still be on its way out.
-            thread.after(LOOK_MICROS, ended::countDown);
+            time.after(LOOK_MICROS, ended);
         } else {
-            thread.after(LOOK_MICROS, this::look);
+            time.after(LOOK_MICROS, () -> look(ended));
         }
     }
 }
--- a/src/main/java/baymoor/net/MinaNet.java
+++ b/balancer/src/main/java/baymoor/net/MinaNet.java
@@ -6,6 +6,10 @@
 import baymoor.peers.PeerLink;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.apache.mina.core.buffer.IoBuffer;
@@ -33,12 +37,15 @@
     private final SimpleIoProcessorPool<NioSession> processors = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
     private final NioSocketConnector connector = new NioSocketConnector(processors);
     private final NioSocketAcceptor acceptor = new NioSocketAcceptor(processors);
+    private final Map<SocketAddress, Function<Link, LinkEvents>> listeners = new ConcurrentHashMap<>();
+    /** Who takes a connection at whatever address, while there is one listener only. */
+    private volatile Function<Link, LinkEvents> anyone;
     private NioDatagramAcceptor datagrams;
     private InetSocketAddress peerAddress;
 
     public MinaNet(DecisionThread thread) {
         this.thread = thread;
-        connector.setHandler(new Handler(null));
+        connector.setHandler(new Handler(false));
         configure(connector.getSessionConfig());
         configure(acceptor.getSessionConfig());
     }
@@ -51,13 +58,35 @@
         config.setIdleTime(IdleStatus.BOTH_IDLE, 0);
     }
 
-    /** Listens for clients, and gives the address that it got. */
-    public InetSocketAddress listen(InetSocketAddress address, Function<Link, LinkEvents> clients) throws IOException {
-        acceptor.setHandler(new Handler(clients));
-        acceptor.setReuseAddress(true);
-        acceptor.setBacklog(BACKLOG);
+    /**
+     * Listens at an address, and gives the one that it got. It may be called again for further addresses, each with
+     * listeners of its own; an address of all interfaces stands alone.
+     */
+    public synchronized InetSocketAddress listen(InetSocketAddress address, Function<Link, LinkEvents> clients)
+            throws IOException {
+        if (listeners.isEmpty()) {
+            acceptor.setHandler(new Handler(true));
+            acceptor.setReuseAddress(true);
+            acceptor.setBacklog(BACKLOG);
+        }
+        if (address.getPort() != 0) { // known beforehand, so that the first connection finds it
+            listeners.put(address, clients);
+        }
+        Set<SocketAddress> before = acceptor.getLocalAddresses();
+        anyone = listeners.size() <= 1 ? clients : null;
         acceptor.bind(address);
-        return acceptor.getLocalAddress();
+        Set<SocketAddress> after = acceptor.getLocalAddresses();
+        after.removeAll(before);
+        InetSocketAddress got = (InetSocketAddress) after.iterator().next();
+        listeners.put(got, clients);
+        return got;
+    }
+
+    /** Listens no longer at one address; the connections there are stay. */
+    public synchronized void stopListening(InetSocketAddress address) {
+        listeners.remove(address);
+        acceptor.setCloseOnDeactivation(false);
+        acceptor.unbind(address);
     }
 
     /** Takes no further connections; those there are stay. */
@@ -115,10 +144,10 @@
 
     /** Hands what happens on a connection to its link. */
     private final class Handler extends IoHandlerAdapter {
-        private final Function<Link, LinkEvents> clients;
+        private final boolean accepts;
 
-        Handler(Function<Link, LinkEvents> clients) {
-            this.clients = clients;
+        Handler(boolean accepts) {
+            this.accepts = accepts;
         }
 
         private MinaLink link(IoSession session) {
@@ -127,7 +156,9 @@
 
         @Override
         public void sessionCreated(IoSession session) {
-            if (clients != null) {
+            if (accepts) {
+                Function<Link, LinkEvents> only = anyone;
+                Function<Link, LinkEvents> clients = only != null ? only : listeners.get(session.getLocalAddress());
                 MinaLink link = new MinaLink(thread);
                 session.setAttribute(LINK, link);
                 link.accepted(session, clients);
--- a/src/main/java/baymoor/north/North.java
+++ b/balancer/src/main/java/baymoor/north/North.java
@@ -26,8 +26,6 @@
     private static final long RESTING_MICROS = 100_000;
     /** Connections past the bound that are told to come back; a crowd past these is closed unheard. */
     private static final int MOST_EXTRA = 16;
-    /** Of the heap, so that it bears what else there is beside the values of writes. */
-    private static final long MOST_VALUE_BYTES = Runtime.getRuntime().maxMemory() / 6;
 
     final Time time;
     final Counters counters;
@@ -36,6 +34,7 @@
     private final Intake intake;
     private final int mostClients;
     private final int mostOwed;
+    private final long mostValueBytes;
     private long valueBytes;
     private final Map<Long, Owed> owed = new HashMap<>();
     private final Set<RespClient> clients = new LinkedHashSet<>();
@@ -46,16 +45,18 @@
      * @param classes     names of the request classes
      * @param mostClients past so many connections those idle longest are closed
      * @param mostOwed    past so many open requests the next ones are turned away
+     * @param mostValueBytes past so many bytes of the values of open writes the next ones are turned away
      * @param report      the counters as text
      */
     public North(Time time, Counters counters, Set<String> classes, Intake intake, int mostClients,
-            int mostOwed, Supplier<String> report) {
+            int mostOwed, long mostValueBytes, Supplier<String> report) {
         this.time = time;
         this.counters = counters;
         this.classes = Set.copyOf(classes);
         this.intake = intake;
         this.mostClients = mostClients;
         this.mostOwed = mostOwed;
+        this.mostValueBytes = mostValueBytes;
         this.report = report;
         time.after(LOOK_MICROS, this::look);
     }
@@ -131,7 +132,7 @@
      */
     boolean full(Taken request) {
         boolean full = owed.size() >= mostOwed
-                || valueBytes + length(request) > MOST_VALUE_BYTES;
+                || valueBytes + length(request) > mostValueBytes;
         if (full) {
             counters.add(Count.TURNED_AWAY);
         }
--- /dev/null
+++ b/balancer/src/main/java/baymoor/serve/Log.java
@@ -0,0 +1,60 @@
+package baymoor.serve;
+
+import java.io.PrintStream;
+import java.time.Clock;
+import java.time.temporal.ChronoUnit;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.json.JSONObject;
+
+/**
+ * The serving program's log on standard error: the fields of the tools' logs (time, level, instance, event, then names
+ * with values), without their library, which would cost a third of a second at each start. {@code ROUTER_LOG=json}
+ * makes each line a JSON object.
+ */
+final class Log implements Consumer<String> {
+
+    private final PrintStream out;
+    private final Clock clock;
+    private final String instance;
+    private final boolean json;
+
+    Log(PrintStream out, Clock clock, String instance, boolean json) {
+        this.out = out;
+        this.clock = clock;
+        this.instance = instance;
+        this.json = json;
+    }
+
+    static Log ofEnvironment(Map<String, String> environment, String instance) {
+        return new Log(System.err, Clock.systemUTC(), instance, "json".equals(environment.get("ROUTER_LOG")));
+    }
+
+    /** A line of a state machine's: what stands before its first colon names the event. */
+    @Override
+    public void accept(String line) {
+        int colon = line.indexOf(": ");
+        boolean named = colon > 0 && line.substring(0, colon).chars().allMatch(c -> c >= 'a' && c <= 'z' || c == ' ');
+        String event = named ? line.substring(0, colon).replace(' ', '-') : "note";
+        event(event.endsWith("failed") ? "WARN" : "INFO", event, Map.of("detail", named ? line.substring(colon + 2) : line));
+    }
+
+    /** @param values in the order in which they are to stand */
+    void event(String level, String event, Map<String, String> values) {
+        String time = clock.instant().truncatedTo(ChronoUnit.MILLIS).toString();
+        StringBuilder line = new StringBuilder();
+        if (json) {
+            line.append("{\"time\":").append(JSONObject.quote(time)).append(",\"level\":\"").append(level)
+                    .append("\",\"instance\":").append(JSONObject.quote(instance)).append(",\"event\":")
+                    .append(JSONObject.quote(event));
+            values.forEach((name, value) -> line.append(',').append(JSONObject.quote(name)).append(':')
+                    .append(JSONObject.quote(value)));
+            line.append('}');
+        } else {
+            line.append(time).append(' ').append(level).append(' ').append(instance).append(' ').append(event);
+            values.forEach((name, value) -> line.append(' ').append(name).append('=')
+                    .append(value.indexOf(' ') < 0 ? value : JSONObject.quote(value)));
+        }
+        out.println(line);
+    }
+}
--- a/src/main/java/baymoor/serve/Main.java
+++ b/balancer/src/main/java/baymoor/serve/Main.java
@@ -4,6 +4,9 @@
 import baymoor.config.Config;
 import baymoor.config.Settings;
 import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.time.Clock;
 
 /**
  * Command line entry: {@code serve} runs one balancer in the foreground until SIGTERM; {@code rehearse} is what the
@@ -25,13 +28,15 @@
         }
         try {
             Settings settings = Config.read(System.getenv());
-            if (rehearse) {
+            Log log = Log.ofEnvironment(System.getenv(), settings.name());
+            Balancer balancer = new Balancer(settings, log);
+            if (rehearse) { // with the balancer made, so that its classes are in the archive too
                 Rehearsal.full(settings, REHEARSED);
+                new Log(new PrintStream(OutputStream.nullOutputStream()), Clock.systemUTC(), "", false).accept("a: b");
                 System.exit(0);
             }
-            Balancer balancer = new Balancer(settings, line -> System.err.println(settings.name() + ": " + line));
             Rehearsal.play(settings.module(), REHEARSED);
-            Hangup.handle(() -> reload(balancer, settings.name()));
+            Hangup.handle(() -> reload(balancer, log));
             balancer.start();
             Runtime.getRuntime().addShutdownHook(new Thread(balancer::drain, "drain"));
         } catch (BadConfig e) {
@@ -47,11 +52,11 @@
     }
 
     /** A file that can't be used is logged, and what was read before stays. */
-    private static void reload(Balancer balancer, String name) {
+    private static void reload(Balancer balancer, Log log) {
         try {
             balancer.reload(Config.read(System.getenv()));
         } catch (BadConfig | RuntimeException e) {
-            System.err.println(name + ": " + e.getMessage() + "; the old configuration stays");
+            log.accept(e.getMessage() + "; the old configuration stays");
         }
     }
 }
--- a/src/main/java/baymoor/serve/Rehearsal.java
+++ b/balancer/src/main/java/baymoor/serve/Rehearsal.java
@@ -32,6 +32,7 @@
 
     private static final int CLIENTS = 4;
     private static final int REST_LANES = 64;
+    private static final long MOST_VALUE_BYTES = 1 << 20;
     /** One in so many is a miss, and one a write of each kind: what goes to the origin is paced. */
     private static final int VARIETY = 32;
     private static final long END_MILLIS = 1_000;
@@ -52,7 +53,7 @@
         Inventory inventory = new Inventory(millis -> millis, counters);
         Dispatcher dispatcher = new Dispatcher(Decisions.start(module), module.limits(), thread, counters, line -> { });
         north = new North(thread, counters, module.classes().stream().map(Decisions.RequestClass::name)
-                .collect(Collectors.toSet()), dispatcher, CLIENTS, CLIENTS, counters::report);
+                .collect(Collectors.toSet()), dispatcher, CLIENTS, CLIENTS, MOST_VALUE_BYTES, counters::report);
         int kind = module.origin().kind();
         String origin = kind >= 0 && kind < module.kinds().size() ? module.kinds().get(kind) : "";
         South south = new South((to, events) -> new Host(events), thread, counters, inventory::entry, origin, List.of(),
--- a/src/main/java/baymoor/south/OriginCodec.java
+++ b/balancer/src/main/java/baymoor/south/OriginCodec.java
@@ -3,6 +3,7 @@
 import baymoor.http.HttpException;
 import baymoor.http.RequestWriter;
 import baymoor.http.ResponseReader;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import merlinstep.Decisions.Outcome;
@@ -26,8 +27,10 @@
 
     @Override
     public byte[] request(Parcel parcel, long waitMillis) {
-        Map<String, String> headers =
-                Map.of("X-Correlation-Id", parcel.id(), "X-Facts", RouterCodec.join(parcel.facts()));
+        // In one order always: Map.of has another one in each JVM, and what crosses the wire should be the same.
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("X-Correlation-Id", parcel.id());
+        headers.put("X-Facts", RouterCodec.join(parcel.facts()));
         String target = "/" + RequestWriter.segment(parcel.key());
         return RequestWriter.request(parcel.value() == null ? "GET" : "PUT", target, host, headers, parcel.value());
     }
--- /dev/null
+++ b/balancer/src/test/java/baymoor/serve/LogTest.java
@@ -0,0 +1,42 @@
+package baymoor.serve;
+
+import static org.junit.Assert.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import org.json.JSONObject;
+import org.junit.Test;
+
+/** The lines that people and programs read. */
+public class LogTest {
+
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+
+    private String said(boolean json, String line) {
+        Clock clock = Clock.fixed(Instant.parse("2026-01-02T03:04:05.678Z"), ZoneOffset.UTC);
+        new Log(new PrintStream(out, true, StandardCharsets.UTF_8), clock, "n3", json).accept(line);
+        return out.toString(StandardCharsets.UTF_8).trim();
+    }
+
+    @Test
+    public void aLineForPeopleHasTimeLevelInstanceAndEvent() {
+        assertEquals("2026-01-02T03:04:05.678Z INFO n3 config detail=\"read again\"", said(false, "config: read again"));
+    }
+
+    @Test
+    public void aFailureIsAWarning() {
+        assertEquals("2026-01-02T03:04:05.678Z WARN n3 task-failed detail=now", said(false, "task failed: now"));
+    }
+
+    @Test
+    public void aLineForProgramsIsOneObjectWhateverItSays() {
+        JSONObject read = new JSONObject(said(true, "two \"words\"\nand a line: end"));
+        assertEquals("n3", read.getString("instance"));
+        assertEquals("note", read.getString("event"));
+        assertEquals("two \"words\"\nand a line: end", read.getString("detail"));
+    }
+}
