--- a/emulator/src/main/java/baymoor/emulator/calibrate/Calibration.java
+++ b/emulator/src/main/java/baymoor/emulator/calibrate/Calibration.java
@@ -51,9 +51,9 @@
             handshake = "0ms"
             [[classes]]
             name = "map-read"
-            work = ["5ms", "20ms"]
+            work = ["20ms", "60ms"]
             aim = "5s"
-            give_up = "20s"
+            give_up = "60s"
             [keys]
             size = "1KiB"
             """;
