--- a/balancer/src/main/java/baymoor/north/North.java
+++ b/balancer/src/main/java/baymoor/north/North.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 
@@ -38,6 +39,8 @@
     private long valueBytes;
     private final Map<Long, Owed> owed = new HashMap<>();
     private final Set<RespClient> clients = new LinkedHashSet<>();
+    /** Connections without anything owed, in the order in which the last answer left. */
+    private final Set<RespClient> resting = new LinkedHashSet<>();
     private long tickets;
     private boolean draining;
 
@@ -92,11 +95,34 @@
         } else if (clients.size() > mostClients * ROOMY_PERCENT / 100) {
             // Seen: a crowd that asks and stays took all connections that clients may hold, and other clients' requests
             // found none. One more than there is room for takes the place of the one idle longest, if that rests.
-            clients.stream().filter(c -> c.rests(RESTING_MICROS)).findFirst().ifPresent(this::evict);
+            longestAtRest().ifPresent(this::evict);
         }
         return client;
     }
 
+    /** Looks at those that may rest only: among some thousand busy connections the search for one took a sixth of all time. */
+    private Optional<RespClient> longestAtRest() {
+        for (RespClient client : resting) {
+            if (client.rests(RESTING_MICROS)) {
+                return Optional.of(client);
+            }
+            if (time.now() - client.movedMicros() <= RESTING_MICROS) {
+                break; // those behind it came to rest later still
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** All that was owed there has left. */
+    void atRest(RespClient client) {
+        resting.remove(client);
+        resting.add(client);
+    }
+
+    void notAtRest(RespClient client) {
+        resting.remove(client);
+    }
+
     private void evict(RespClient client) {
         counters.add(Count.CLIENTS_EVICTED);
         clients.remove(client);
@@ -189,6 +215,7 @@
     void gone(RespClient client, Iterable<Owed> left) {
         counters.add(Count.CLIENTS_CLOSED);
         clients.remove(client);
+        resting.remove(client);
         List<Owed> open = new ArrayList<>();
         for (Owed o : left) {
             if (owed.remove(o.ticket) != null) {
--- a/balancer/src/main/java/baymoor/north/RespClient.java
+++ b/balancer/src/main/java/baymoor/north/RespClient.java
@@ -60,6 +60,11 @@
         return spoken;
     }
 
+    /** Since when nothing has moved here. */
+    long movedMicros() {
+        return movedMicros;
+    }
+
     /** Whether it has been served and wants nothing for so long. */
     boolean rests(long micros) {
         return spoken && !stopped && quiet() && unwritten == 0 && north.time.now() - movedMicros > micros;
@@ -111,6 +116,7 @@
     private void stop() {
         if (!stopped) {
             stopped = true;
+            north.notAtRest(this);
             link.reading(false);
         }
     }
@@ -131,6 +137,7 @@
         if (stopped) {
             return;
         }
+        north.notAtRest(this);
         north.used(this);
         partMicros = reader.pending() ? partMicros : north.time.now();
         reader.feed(bytes);
@@ -254,6 +261,9 @@
     public void written() {
         unwritten--;
         movedMicros = stopped ? movedMicros : north.time.now();
+        if (unwritten == 0 && row.isEmpty() && spoken && !stopped) {
+            north.atRest(this);
+        }
         resume();
     }
 
--- a/balancer/src/test/java/baymoor/north/NorthTest.java
+++ b/balancer/src/test/java/baymoor/north/NorthTest.java
@@ -215,6 +215,19 @@
         assertFalse(busy.closed || third.closed);
     }
 
+    @Test
+    public void whoIsAskedAgainRestsNoLongerAndWhoIsAnsweredDoes() {
+        link.in(command("PING"));
+        time.pass(200_000);
+        link.in(get("a"));
+        other();
+        assertFalse("it wants something again", link.closed);
+        north.answer(1, new Answer.Failed());
+        time.pass(200_000);
+        other();
+        assertTrue("it was answered and rests", link.closed);
+    }
+
     @Test
     public void pastTheBoundWhatNeverSpokeGoesBeforeWhatIsIdle() {
         link.in(command("PING"));
--- a/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
@@ -92,7 +92,10 @@
     /** The figures of the rules, as the settings give them to a balancer. */
     public record Figures(int maxAttempts, long connectMicros, long answerSlackMicros, long drainGraceMicros,
             long askWithinMicros, double tipMultiple, long tipMicros, long maxRetryAfterMicros, boolean retryAfter,
-            boolean mayCancel) { }
+            boolean mayCancel, Reports reports) { }
+
+    /** How routers report their load: not at all, with every answer, or when they are asked. */
+    public enum Reports { OFF, INLINE, ON_PROBE }
 
     /** What can happen to the world. */
     public enum What {
--- a/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
@@ -274,7 +274,8 @@
         Figures figures = new Figures((int) t.whole("max_attempts", 1, 5), t.time("connect", 250 * MS),
                 t.time("answer_slack", 20 * MS), t.time("drain_grace", 500 * MS), t.time("ask_within", 10 * SECOND),
                 t.number("tip_multiple", 1, MANY, 3), t.time("tip", 3 * SECOND), t.time("max_retry_after", 2 * SECOND),
-                t.flag("retry_after", true), t.flag("may_cancel", true));
+                t.flag("retry_after", true), t.flag("may_cancel", true),
+                t.word("reports", Scenario.Reports.class, Scenario.Reports.OFF));
         t.end();
         return figures;
     }
--- a/emulator/src/main/java/baymoor/emulator/world/BalancerConfig.java
+++ b/emulator/src/main/java/baymoor/emulator/world/BalancerConfig.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Locale;
 
 /** Writes the configuration of a balancer of a scenario, in the form that the serving program reads. */
 public final class BalancerConfig {
@@ -86,7 +87,10 @@
                 .put("probe", 0.01).put("waste", 0.08);
         set.putObject("scoring_mix").put("whole", 0.25).put("worst_window", 0.45).put("worst_class", 0.2)
                 .put("worst_tenant", 0.1);
-        set.putObject("load_info").put("how", "off").putArray("names");
+        ArrayNode names = set.putObject("load_info").put("how", f.reports().name().toLowerCase(Locale.ROOT)).putArray("names");
+        if (f.reports() != Scenario.Reports.OFF) {
+            LoadGauge.NAMES.forEach(names::add);
+        }
         set.putObject("client_habits").put("marks_retry", true);
     }
 
--- a/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
+++ b/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
@@ -158,7 +158,7 @@
                 .getBytes(StandardCharsets.UTF_8);
     }
 
-    private final class Connection implements LinkEvents {
+    private final class Connection extends Conversation {
         private final Link link;
         private final int balancer;
         private final HttpRequests reader = new HttpRequests();
@@ -170,11 +170,6 @@
             this.balancer = balancer;
         }
 
-        @Override
-        public void opened() {
-            // A client speaks first.
-        }
-
         @Override
         public void received(byte[] bytes) {
             reader.feed(bytes);
@@ -243,11 +238,6 @@
             watch.beat();
         }
 
-        @Override
-        public void written() {
-            // Nothing turns on when a line has left.
-        }
-
         @Override
         public void closed() {
             over = true;
--- a/emulator/src/main/java/baymoor/emulator/world/Origin.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Origin.java
@@ -126,7 +126,7 @@
         }
     }
 
-    private final class Connection implements LinkEvents {
+    private final class Connection extends Conversation {
         private final Link link;
         private final int balancer;
         private final long number = arrivals.connection();
@@ -141,11 +141,6 @@
             this.balancer = balancer;
         }
 
-        @Override
-        public void opened() {
-            // A client speaks first.
-        }
-
         @Override
         public void received(byte[] bytes) {
             if (over || born != life) {
@@ -208,11 +203,6 @@
             }
         }
 
-        @Override
-        public void written() {
-            // Nothing turns on when an answer has left.
-        }
-
         @Override
         public void closed() {
             over = true;
--- a/emulator/src/main/java/baymoor/emulator/world/Router.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Router.java
@@ -65,6 +65,7 @@
     private final double speed;
     private final Station station;
     private final ObjectCache cache;
+    private final LoadGauge gauge;
     private final Map<String, Long> fetching = new LinkedHashMap<>();
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final ArrayDeque<Pressure> pressure = new ArrayDeque<>();
@@ -100,6 +101,7 @@
         speed = kind.speed() * Math.max(0.2, 1 + kind.speedSpread() * Draw.normal(chance));
         station = new Station(time, kind.cores(), kind.slots() * kind.cores(), kind.room() * kind.cores(), speed,
                 kind.thrash(), kind.crowd());
+        gauge = new LoadGauge(kind.slots() * kind.cores());
         cache = new ObjectCache(kind.memory(), kind.ttlMicros());
     }
 
@@ -331,7 +333,7 @@
         }
     }
 
-    private final class Connection implements LinkEvents {
+    private final class Connection extends Conversation {
         private final Link link;
         private final int balancer;
         private final RespReader reader = RespReader.ofCommands();
@@ -347,11 +349,6 @@
             this.balancer = balancer;
         }
 
-        @Override
-        public void opened() {
-            // A client speaks first.
-        }
-
         @Override
         public void received(byte[] bytes) {
             if (over || born != life) {
@@ -384,7 +381,12 @@
                     answer(due, RespWriter.simple("PONG"));
                 }
                 case "CLIENT", "SELECT" -> answer(due, RespWriter.simple("OK"));
-                case "INFO" -> answer(due, RespWriter.error("NOPERM"));
+                case "INFO" -> {
+                    boolean told = figures.reports() != Scenario.Reports.OFF;
+                    tally.probed();
+                    answer(due, told ? RespWriter.bulk(RespWriter.ascii(gauge.read(time.now(), station)))
+                            : RespWriter.error("NOPERM"));
+                }
                 case "OBJ.GET", "OBJ.SET" -> answer(due, RespWriter.error("SYNTAX"));
                 default -> answer(due, RespWriter.error("ERR unknown command"));
             }
@@ -481,11 +483,6 @@
             }
         }
 
-        @Override
-        public void written() {
-            // Nothing turns on when an answer has left.
-        }
-
         @Override
         public void closed() {
             over = true;
@@ -568,12 +565,13 @@
             from.answer(due, answer(NOTHING, pending ? "pending" : "miss"));
         }
 
-        private static byte[] answer(byte[] value, String how) {
-            ByteArrayOutputStream out = new ByteArrayOutputStream(value.length + 32);
+        private byte[] answer(byte[] value, String how) {
+            ByteArrayOutputStream out = new ByteArrayOutputStream(value.length + 96);
             out.writeBytes(RespWriter.ascii("*3\r\n"));
             out.writeBytes(value);
             out.writeBytes(RespWriter.bulk(RespWriter.ascii(how)));
-            out.writeBytes(NOTHING);
+            out.writeBytes(figures.reports() == Scenario.Reports.INLINE
+                    ? RespWriter.bulk(RespWriter.ascii(gauge.read(time.now(), station))) : NOTHING);
             return out.toByteArray();
         }
     }
--- a/emulator/src/test/java/baymoor/emulator/world/HostsTest.java
+++ b/emulator/src/test/java/baymoor/emulator/world/HostsTest.java
@@ -140,6 +140,22 @@
         assertTrue(c.said().contains("miss"));
     }
 
+    @Test
+    public void itsLoadIsReportedWhereTheSiteHasThat() throws Exception {
+        world("[rules]\nreports = \"inline\"\n");
+        Client c = client();
+        c.ask(get(KEY, "r1", 900));
+        time.pass(2_000);
+        String text = "outstanding=0,backlog=0,utilization=0.00";
+        assertEquals("*3\r\n$-1\r\n$4\r\nmiss\r\n$" + text.length() + "\r\n" + text + "\r\n", c.said());
+        c.ask("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n");
+        assertEquals("$" + text.length() + "\r\n" + text + "\r\n", c.said());
+        world("");
+        c = client();
+        c.ask("*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n");
+        assertEquals("-NOPERM\r\n", c.said());
+    }
+
     @Test
     public void pastSlotAndRoomItIsBusyAndACancelStopsNothing() throws Exception {
         world("");
