--- a/balancer/src/main/java/baymoor/serve/Main.java
+++ b/balancer/src/main/java/baymoor/serve/Main.java
@@ -38,7 +38,7 @@
             Rehearsal.play(settings.module(), REHEARSED);
             Hangup.handle(() -> reload(balancer, log));
             balancer.start();
-            log.accept("listening: " + settings.listen());
+            log.accept("listening: " + settings.listen().getAddress().getHostAddress() + ":" + settings.listen().getPort());
             Runtime.getRuntime().addShutdownHook(new Thread(balancer::drain, "drain"));
         } catch (BadConfig e) {
             System.err.println(e.getMessage());
