--- a/balancer/src/test/java/baymoor/south/SouthTest.java
+++ b/balancer/src/test/java/baymoor/south/SouthTest.java
@@ -290,7 +290,7 @@
         assertEquals("t NOT_CONNECTED; s TIMED_OUT", ends());
     }
 
-    /** Found in the emulator: the time-out fell due between the last byte's leaving and the word of it. */
+    /** Found by reading while the emulator was written: a time-out may fall due between the last byte and the word of it. */
     @Test
     public void aLastByteThatLeavesWhileItIsGivenUpMayHaveRun() {
         FakeLink link = send("r", ORIGIN, new byte[] {1});
