--- a/balancer/src/main/java/baymoor/south/Lane.java
+++ b/balancer/src/main/java/baymoor/south/Lane.java
@@ -160,8 +160,8 @@
             // leave while the connection is being given up, and its word comes before the word of the close, so this
             // is judged here and not when the time-out fell due.
             Outcome broke = ending == null ? Outcome.RESET : ending;
-            south.end(broken, end != null ? end : Reply.without(written || broke == Outcome.CANCELLED ? broke
-                    : broke == Outcome.ERROR ? broke : Outcome.NOT_CONNECTED));
+            south.end(broken, end != null ? end : Reply.without(written || broke == Outcome.CANCELLED
+                    || broke == Outcome.ERROR ? broke : Outcome.NOT_CONNECTED));
         }
         south.serveWaiting();
     }
--- a/cli/src/main/java/baymoor/cli/Demo.java
+++ b/cli/src/main/java/baymoor/cli/Demo.java
@@ -1,7 +1,6 @@
 package baymoor.cli;
 
 import baymoor.emulator.judge.Broken;
-import baymoor.emulator.scenario.BadScenario;
 import baymoor.emulator.scenario.Scenario;
 import baymoor.emulator.scenario.ScenarioReader;
 import baymoor.emulator.sockets.SocketRun;
@@ -24,7 +23,6 @@
 
     private static final int LEAST = 5;
     private static final int MOST = 600;
-    private static final double STEP = 1;
 
     @Spec
     private CommandLine.Model.CommandSpec spec;
@@ -86,9 +84,7 @@
         try (InputStream in = Demo.class.getResourceAsStream("demo.toml")) {
             String text = new String(in.readAllBytes(), StandardCharsets.UTF_8)
                     .replace("duration = \"15s\"", "duration = \"" + seconds + "s\"");
-            return ScenarioReader.parse(text + acts, "demo.toml");
-        } catch (BadScenario e) {
-            throw new IllegalStateException("the demo's own scenario is bad: " + e.getMessage(), e);
+            return ScenarioReader.own(text + acts, "demo.toml");
         }
     }
 }
--- a/cli/src/main/java/baymoor/cli/EmulateServe.java
+++ b/cli/src/main/java/baymoor/cli/EmulateServe.java
@@ -1,6 +1,7 @@
 package baymoor.cli;
 
 import baymoor.emulator.scenario.Scenario;
+import baymoor.emulator.sockets.SocketRun;
 import baymoor.emulator.sockets.StandIns;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -40,7 +41,7 @@
     @Override
     public Integer call() throws IOException, InterruptedException {
         Scenario scenario = Scenarios.read(file);
-        String unfit = load ? baymoor.emulator.sockets.SocketRun.unfit(scenario) : null;
+        String unfit = load ? SocketRun.unfit(scenario) : null;
         if (unfit != null) {
             throw new Failed(file + ": " + unfit);
         }
--- a/emulator/src/main/java/baymoor/emulator/calibrate/Calibration.java
+++ b/emulator/src/main/java/baymoor/emulator/calibrate/Calibration.java
@@ -1,6 +1,5 @@
 package baymoor.emulator.calibrate;
 
-import baymoor.emulator.scenario.BadScenario;
 import baymoor.emulator.scenario.Scenario;
 import baymoor.emulator.scenario.ScenarioReader;
 import baymoor.emulator.sockets.SocketRouter;
@@ -79,12 +78,7 @@
      */
     public static List<Row> run(int seconds, int repeats, long seed, int at, IntConsumer done)
             throws IOException, InterruptedException {
-        Scenario scenario;
-        try {
-            scenario = ScenarioReader.parse(ROUTER.formatted(seconds), "calibration");
-        } catch (BadScenario e) {
-            throw new IllegalStateException("the calibration's own scenario is bad: " + e.getMessage(), e);
-        }
+        Scenario scenario = ScenarioReader.own(ROUTER.formatted(seconds), "calibration");
         ExecutorService pool = Executors.newFixedThreadPool(at);
         try {
             List<Callable<Pair>> runs = new ArrayList<>();
--- a/emulator/src/main/java/baymoor/emulator/report/Summary.java
+++ b/emulator/src/main/java/baymoor/emulator/report/Summary.java
@@ -1,5 +1,6 @@
 package baymoor.emulator.report;
 
+import baymoor.emulator.judge.Rule;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -15,21 +16,27 @@
  * @param kind        {@code virtual} or {@code sockets}
  * @param fingerprint of the event log; empty where there is none
  * @param seconds     that were played, the time before counting included
- * @param broken      how often each rule broke, by its name
+ * @param broken      how often each rule broke
  */
 public record Summary(String scenario, String kind, long seed, String fingerprint, double seconds, double wallSeconds,
-        long events, Tally tally, Map<String, Integer> broken) {
+        long events, Tally tally, Map<Rule, Integer> broken) {
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
     public Summary {
-        broken = new TreeMap<>(broken);
+        broken = Map.copyOf(broken);
     }
 
     public int brokenCount() {
         return broken.values().stream().mapToInt(Integer::intValue).sum();
     }
 
+    private Map<String, Integer> names() {
+        Map<String, Integer> names = new TreeMap<>();
+        broken.forEach((rule, count) -> names.put(rule.name().toLowerCase(Locale.ROOT), count));
+        return names;
+    }
+
     private static double percent(long part, long whole) {
         return whole == 0 ? 0 : 100.0 * part / whole;
     }
@@ -56,7 +63,7 @@
         row(rows, "origin fetches, writes", "%,d, %,d (%,d repeats dropped)", t.fetches(), t.writes(), t.repeatsDropped());
         row(rows, "turned away by hosts", "%,d", t.turnedAwayByHosts());
         row(rows, "answers for nobody", "%,d", t.wastedRuns());
-        row(rows, "rules broken", "%s", brokenCount() == 0 ? "none" : brokenCount() + " " + broken);
+        row(rows, "rules broken", "%s", brokenCount() == 0 ? "none" : brokenCount() + " " + names());
         if (!fingerprint.isEmpty()) {
             row(rows, "played", "%.1f s in %.1f s, %,d events", seconds, wallSeconds, events);
             row(rows, "event log", "sha256 %s", fingerprint);
@@ -82,7 +89,7 @@
                 .put("origin_repeats_dropped", t.repeatsDropped()).put("hosts_turned_away", t.turnedAwayByHosts())
                 .put("answers_for_nobody", t.wastedRuns()).put("probes", t.probes());
         ObjectNode rules = o.putObject("rules_broken");
-        broken.forEach(rules::put);
+        names().forEach(rules::put);
         ArrayNode seconds = o.putArray("per_second");
         for (Tally.Second s : t.seconds()) {
             seconds.addObject().put("asked", s.asked).put("in_time", s.inTime).put("refused", s.refused)
--- a/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
@@ -75,6 +75,15 @@
         return scenario;
     }
 
+    /** A scenario that the program itself has written, where a mistake is the program's. */
+    public static Scenario own(String text, String name) {
+        try {
+            return parse(text, name);
+        } catch (BadScenario e) {
+            throw new IllegalStateException("a scenario of our own making is bad: " + e.getMessage(), e);
+        }
+    }
+
     /** What the parser says of a quantity without quotes is true but tells nobody what to write. */
     private static String explained(String text, int line, String message) {
         String at = text.lines().skip(Math.max(0, line - 1)).findFirst().orElse("");
@@ -151,8 +160,7 @@
 
     private static RouterKind usual(String name, int count, int cores, double speed) {
         Table empty = new Table(Toml.parse(""), "", null, new ArrayList<>());
-        RouterKind k = kindOf(empty, name, count, cores, speed);
-        return k;
+        return kindOf(empty, name, count, cores, speed);
     }
 
     private RouterKind kind(Table t) {
--- a/emulator/src/main/java/baymoor/emulator/sockets/SocketRun.java
+++ b/emulator/src/main/java/baymoor/emulator/sockets/SocketRun.java
@@ -15,10 +15,8 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -104,10 +102,8 @@
         if (failure != null) {
             throw new IOException(failure);
         }
-        Map<String, Integer> names = new HashMap<>();
-        judge.counts().forEach((rule, count) -> names.put(rule.name().toLowerCase(Locale.ROOT), count));
         double seconds = (thread.read() - began) / 1e6;
-        return new Result(new Summary(scenario.name(), "sockets", options.seed(), "", seconds, seconds, 0, tally, names),
+        return new Result(new Summary(scenario.name(), "sockets", options.seed(), "", seconds, seconds, 0, tally, judge.counts()),
                 List.copyOf(broken));
     }
 
@@ -133,7 +129,7 @@
         if (fleet.allUp()) {
             began = thread.now();
             world.begin();
-            look(began + scenario.warmUpMicros() + scenario.durationMicros());
+            look();
         } else if (thread.now() > until) {
             failure = "a balancer did not answer within " + START_SECONDS + " s; see the logs in " + options.folder();
             over.countDown();
@@ -143,15 +139,13 @@
         }
     }
 
-    private void look(long asking) {
+    private void look() {
         judge.look();
-        report(thread.now() < asking ? "playing" : "ending", (thread.now() - began) / 1e6);
-        long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::giveUpMicros).max().orElse(0);
-        boolean done = thread.now() >= asking && world.clients().open() == 0 || thread.now() > asking + 4 * longest;
-        if (done || failure != null || counters.get(Count.TASK_FAILURES) > 0) {
+        report(world.asking() ? "playing" : "ending", (thread.now() - began) / 1e6);
+        if (world.over() || failure != null || counters.get(Count.TASK_FAILURES) > 0) {
             over.countDown();
         } else {
-            thread.after(LOOK_MICROS, () -> look(asking));
+            thread.after(LOOK_MICROS, this::look);
         }
     }
 }
--- a/emulator/src/main/java/baymoor/emulator/sockets/StandIns.java
+++ b/emulator/src/main/java/baymoor/emulator/sockets/StandIns.java
@@ -15,10 +15,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -108,8 +105,7 @@
 
     private void look() {
         judge.look();
-        long asking = began + scenario.warmUpMicros() + scenario.durationMicros();
-        if (thread.now() >= asking && world.clients().open() == 0) {
+        if (world.over()) {
             over.countDown();
         } else {
             thread.after(LOOK_MICROS, this::look);
@@ -129,10 +125,8 @@
 
     /** What came of the load. */
     public Summary summary() {
-        Map<String, Integer> names = new HashMap<>();
-        judge.counts().forEach((rule, count) -> names.put(rule.name().toLowerCase(Locale.ROOT), count));
         double seconds = began == 0 ? 0 : (thread.read() - began) / 1e6;
-        return new Summary(scenario.name(), "sockets", seed, "", seconds, seconds, 0, tally, names);
+        return new Summary(scenario.name(), "sockets", seed, "", seconds, seconds, 0, tally, judge.counts());
     }
 
     @Override
--- a/emulator/src/main/java/baymoor/emulator/virtual/Speed.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/Speed.java
@@ -1,6 +1,5 @@
 package baymoor.emulator.virtual;
 
-import baymoor.emulator.scenario.BadScenario;
 import baymoor.emulator.scenario.Scenario;
 import baymoor.emulator.scenario.ScenarioReader;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -47,11 +46,7 @@
                     """.formatted(seconds, balancers, routers - routers * 5 / 12, routers * 5 / 12,
                     Math.round(40 * shareOfUsual), Math.round(6 * shareOfUsual) + 1, Math.round(60 * shareOfUsual),
                     Math.round(8000 * Math.max(1, Math.sqrt(shareOfUsual))), rate);
-            try {
-                return ScenarioReader.parse(text, name);
-            } catch (BadScenario e) {
-                throw new IllegalStateException("a scenario of our own making is bad: " + e.getMessage(), e);
-            }
+            return ScenarioReader.own(text, name);
         }
     }
 
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualRun.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualRun.java
@@ -12,9 +12,7 @@
 import baymoor.emulator.world.World;
 import java.io.OutputStream;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.function.LongConsumer;
 
@@ -53,10 +51,8 @@
         }
 
         public Summary summary() {
-            Map<String, Integer> names = new HashMap<>();
-            counts.forEach((rule, count) -> names.put(rule.name().toLowerCase(Locale.ROOT), count));
             return new Summary(scenario.name(), "virtual", seed, fingerprint, virtual / 1e6, wallNanos / 1e9, events,
-                    tally, names);
+                    tally, counts);
         }
     }
 
@@ -93,8 +89,6 @@
         fleet.startAll();
         world.begin();
         long start = engine.now();
-        long asking = start + scenario.warmUpMicros() + scenario.durationMicros();
-        long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::giveUpMicros).max().orElse(0);
         long invariants = Invariant.broken();
         for (long at = start + LOOK_MICROS; !engine.halted(); at += LOOK_MICROS) {
             engine.runUntil(at);
@@ -107,7 +101,7 @@
             if ((at - start) % 1_000_000 == 0) {
                 options.progress().accept(at - start);
             }
-            if (at >= asking && world.clients().open() == 0 || at >= asking + 4 * longest) {
+            if (world.over()) {
                 break;
             }
         }
--- a/emulator/src/main/java/baymoor/emulator/world/Clients.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Clients.java
@@ -39,6 +39,8 @@
     private final Tally tally;
     private final Platform platform;
     private final long slack;
+    private final double[] classShares;
+    private final double[] tenantShares;
     private final Zone[] zones;
     private final boolean[] seen;
     private final int[] lives;
@@ -57,6 +59,8 @@
         this.judge = judge;
         this.tally = tally;
         slack = scenario.figures().answerSlackMicros() + Math.max(10_000, platform.slackMicros());
+        classShares = scenario.classes().stream().mapToDouble(RequestClass::share).toArray();
+        tenantShares = scenario.tenants().stream().mapToDouble(Scenario.Tenant::share).toArray();
         int count = scenario.balancers().count();
         seen = new boolean[count];
         lives = new int[count];
@@ -192,10 +196,8 @@
 
         Request(Zone zone) {
             this.zone = zone;
-            kind = scenario.classes().get(pick(zone.chance, scenario.classes().stream().mapToDouble(RequestClass::share)
-                    .toArray()));
-            tenant = scenario.tenants().get(pick(zone.chance, scenario.tenants().stream()
-                    .mapToDouble(Scenario.Tenant::share).toArray())).name();
+            kind = scenario.classes().get(pick(zone.chance, classShares));
+            tenant = scenario.tenants().get(pick(zone.chance, tenantShares)).name();
             boolean once = !kind.write() && Draw.chance(zone.chance, scan);
             key = once ? zone.chance.nextLong() : catalogue.key(zone.ranks.sample() - 1, zone.time.now() - countFrom);
             thing = catalogue.thing(key);
--- a/emulator/src/main/java/baymoor/emulator/world/Fills.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Fills.java
@@ -6,7 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Supplier;
+import java.util.function.Consumer;
 
 /**
  * What happens behind the balancers' backs: once the origin has answered a read that somebody still waits for, the
@@ -19,19 +19,23 @@
 
     private record Miss(String id, long at, List<Router> routers, boolean[] cold) { }
 
-    private record Read(long at, boolean atCold) { }
-
     private final Time time;
     private final long delayMicros;
-    private final Supplier<List<Router>> routers;
+    private final long windowMicros;
+    private final Consumer<String> voidAll;
     private final Map<String, Miss> misses = new HashMap<>();
     private final ArrayDeque<Miss> order = new ArrayDeque<>();
-    private final ArrayDeque<Read> reads = new ArrayDeque<>();
+    private final ArrayDeque<Long> reads = new ArrayDeque<>();
 
-    Fills(Time time, long delayMicros, Supplier<List<Router>> routers) {
+    /**
+     * @param windowMicros for which reads are remembered
+     * @param voidAll      voids the copies of a key, wherever they are
+     */
+    Fills(Time time, long delayMicros, long windowMicros, Consumer<String> voidAll) {
         this.time = time;
         this.delayMicros = delayMicros;
-        this.routers = routers;
+        this.windowMicros = windowMicros;
+        this.voidAll = voidAll;
     }
 
     /** A router has told a miss for a request. */
@@ -52,16 +56,21 @@
     }
 
     /** A read has come to a router. */
-    void read(boolean atCold) {
-        reads.add(new Read(time.now(), atCold));
+    void read() {
+        reads.add(time.now());
+        forgetReads();
     }
 
-    /** Reads that came to routers within the last so many microseconds. */
-    int reads(long micros) {
-        long from = time.now() - micros;
-        while (!reads.isEmpty() && reads.peek().at < from) {
+    private void forgetReads() {
+        long from = time.now() - windowMicros;
+        while (!reads.isEmpty() && reads.peek() < from) {
             reads.poll();
         }
+    }
+
+    /** Reads that came to routers within the window. */
+    int reads() {
+        forgetReads();
         return reads.size();
     }
 
@@ -80,6 +89,6 @@
     }
 
     void changed(String key) {
-        time.after(delayMicros, () -> routers.get().forEach(r -> r.voided(key)));
+        time.after(delayMicros, () -> voidAll.accept(key));
     }
 }
--- a/emulator/src/main/java/baymoor/emulator/world/ObjectCache.java
+++ b/emulator/src/main/java/baymoor/emulator/world/ObjectCache.java
@@ -55,12 +55,4 @@
         objects.clear();
         bytes = 0;
     }
-
-    int size() {
-        return objects.size();
-    }
-
-    long bytes() {
-        return bytes;
-    }
 }
--- a/emulator/src/main/java/baymoor/emulator/world/Origin.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Origin.java
@@ -32,7 +32,6 @@
     private record Arrival(long at, boolean cold) { }
 
     private final Scenario.Origin spec;
-    private final Scenario.Figures figures;
     private final Time time;
     private final UniformRandomProvider chance;
     private final Catalogue catalogue;
@@ -60,7 +59,6 @@
     Origin(Scenario scenario, Time time, UniformRandomProvider chance, Catalogue catalogue, Fills fills, Judge judge,
             Arrivals arrivals, Tally tally, DoubleSupplier coldDue, Runnable fell) {
         spec = scenario.origin();
-        figures = scenario.figures();
         this.time = time;
         this.chance = chance;
         this.catalogue = catalogue;
@@ -119,7 +117,7 @@
         double most = spec.fallMultiple() * spec.capacity() * spec.fallMicros() / 1e6;
         if (recent.size() > most && falls < spec.mostFalls()) {
             falls++;
-            double due = fills.reads(spec.fallMicros()) * coldDue.getAsDouble();
+            double due = fills.reads() * coldDue.getAsDouble();
             judge.originFell((double) coldArrivals / recent.size(), due <= 0 ? Double.MAX_VALUE : coldArrivals / due);
             stop();
             fell.run();
--- a/emulator/src/main/java/baymoor/emulator/world/Router.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Router.java
@@ -144,10 +144,6 @@
         return station.waiting();
     }
 
-    int connections() {
-        return connections.size();
-    }
-
     /** Its process is up. {@code sinceMicros} 0: it has run for long and is warm; else it starts cold and empty. */
     public void start(long sinceMicros) {
         life++;
@@ -419,7 +415,7 @@
                     + (fresh ? kind.handshakeMicros() : 0);
             fresh = false;
             if (read) {
-                fills.read(cold());
+                fills.read();
             }
             press(balancer, work);
             if (born != life) {
--- a/emulator/src/main/java/baymoor/emulator/world/RouterLoad.java
+++ b/emulator/src/main/java/baymoor/emulator/world/RouterLoad.java
@@ -14,7 +14,6 @@
 import baymoor.resp.RespReader;
 import baymoor.resp.RespWriter;
 import java.util.ArrayDeque;
-import java.util.List;
 import java.util.stream.IntStream;
 import org.HdrHistogram.Histogram;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -57,7 +56,7 @@
         catalogue = new Catalogue(scenario, scenario.seed());
         chance = streams.of("load");
         Time routersTime = platform.time("s-0", 0);
-        Fills fills = new Fills(routersTime, 0, List::of);
+        Fills fills = new Fills(routersTime, 0, 0, key -> { });
         Judge judge = new Judge(time::now, scenario.figures(), 0, b -> { });
         router = new Router("s-0", 0, scenario.routers().get(0), scenario.figures(), routersTime, streams.of("s-0"),
                 catalogue, fills, judge, new Arrivals(judge, false), new Tally(), r -> { });
--- a/emulator/src/main/java/baymoor/emulator/world/World.java
+++ b/emulator/src/main/java/baymoor/emulator/world/World.java
@@ -24,6 +24,8 @@
 
     private static final long WAIT_MICROS = 200_000;
     private static final double ROUGH = 0.1;
+    /** Of the longest time that a client waits: past it nothing more can come. */
+    private static final int PATIENCE = 4;
     /** Over all routers: a large fleet would spend minutes and memory on what most of it is never asked for. */
     private static final int MOST_PREFILLED = 400_000;
 
@@ -69,7 +71,8 @@
         time = platform.time("world", 0);
         chance = streams.of("script");
         catalogue = new Catalogue(scenario, scenario.seed());
-        fills = new Fills(time, scenario.net().cross().middle(), () -> slots.stream().map(s -> s.router).toList());
+        fills = new Fills(time, scenario.net().cross().middle(), scenario.origin().fallMicros(),
+                key -> slots.forEach(s -> s.router.voided(key)));
         arrivals = new Arrivals(judge, platform.hostsTell());
         int place = 0;
         for (RouterKind kind : scenario.routers()) {
@@ -118,10 +121,6 @@
         return discovery.index();
     }
 
-    public List<Router> routers() {
-        return slots.stream().map(s -> s.router).toList();
-    }
-
     /** Lets all hosts listen, with what they would hold in service; the balancers may start now. */
     public void open(Fleet balancers) {
         fleet = balancers;
@@ -156,6 +155,21 @@
         }
     }
 
+    private long asksUntil() {
+        return start + scenario.warmUpMicros() + scenario.durationMicros();
+    }
+
+    /** Whether clients still begin requests. */
+    public boolean asking() {
+        return time.now() < asksUntil();
+    }
+
+    /** Whether all that was asked is over, or long past its time. */
+    public boolean over() {
+        long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::giveUpMicros).max().orElse(0);
+        return !asking() && (clients.open() == 0 || time.now() >= asksUntil() + PATIENCE * longest);
+    }
+
     private void change() {
         time.after((long) (Draw.exponential(chance) / scenario.keys().changes() * 1e6) + 1, () -> {
             fills.changed(Catalogue.name(catalogue.key(chance.nextInt(scenario.keys().count()), time.now() - start)));
@@ -190,11 +204,15 @@
     private void fell(Router router) {
         slots.stream().filter(s -> s.router == router).forEach(s -> {
             said.accept("fell", router.name());
-            platform.stopListening(s.place, false);
-            discovery.changed(s.entry.with(Status.TERMINATED), Sign.ENDED);
+            gone(s, false);
         });
     }
 
+    private void gone(Slot slot, boolean silently) {
+        platform.stopListening(slot.place, silently);
+        discovery.changed(slot.entry.with(Status.TERMINATED), silently ? Sign.SILENT : Sign.ENDED);
+    }
+
     private void originFell() {
         said.accept("fell", Origin.NAME);
         stopOrigin(Draw.within(chance, scenario.origin().downMicros()));
@@ -223,38 +241,37 @@
 
     private void play(Act act) {
         said.accept(act.what().name().toLowerCase(java.util.Locale.ROOT), act.zone());
-        Time t = time;
         switch (act.what()) {
             case SURGE -> {
                 clients.surge(act.factor());
-                t.after(act.forMicros(), () -> clients.surge(1 / act.factor()));
+                time.after(act.forMicros(), () -> clients.surge(1 / act.factor()));
             }
             case SCAN -> {
                 clients.scan(act.share());
-                t.after(act.forMicros(), () -> clients.scan(0));
+                time.after(act.forMicros(), () -> clients.scan(0));
             }
             case CUT -> {
                 int zone = scenario.zones().indexOf(act.zone());
                 platform.cut(zone, true);
-                t.after(act.forMicros(), () -> platform.cut(zone, false));
+                time.after(act.forMicros(), () -> platform.cut(zone, false));
             }
             case SLOW_ORIGIN -> {
                 origin.slow(act.factor());
-                t.after(act.forMicros(), () -> origin.slow(1));
+                time.after(act.forMicros(), () -> origin.slow(1));
             }
             case STOP_ORIGIN -> stopOrigin(act.forMicros());
             case LOSE_DATAGRAMS -> {
                 platform.loseDatagrams(act.share());
-                t.after(act.forMicros(), () -> platform.loseDatagrams(0));
+                time.after(act.forMicros(), () -> platform.loseDatagrams(0));
             }
             case DISCOVERY_SLOW -> {
                 discovery.slow(act.factor());
-                t.after(act.forMicros(), () -> discovery.slow(1));
+                time.after(act.forMicros(), () -> discovery.slow(1));
             }
             case DISCOVERY_DOWN -> {
                 discovery.down();
                 platform.stopListening(discoveryPlace(), false);
-                t.after(act.forMicros(), () -> {
+                time.after(act.forMicros(), () -> {
                     discovery.up();
                     platform.listen(discoveryPlace(), "discovery", 0, discovery::accept);
                 });
@@ -310,16 +327,13 @@
         said.accept(act.what().name().toLowerCase(java.util.Locale.ROOT), r.name());
         switch (act.what()) {
             case RESTART_ROUTER, VANISH_ROUTER -> {
-                boolean silently = act.what() == Scenario.What.VANISH_ROUTER;
-                platform.stopListening(slot.place, silently);
+                gone(slot, act.what() == Scenario.What.VANISH_ROUTER);
                 r.stop();
-                discovery.changed(slot.entry.with(Status.TERMINATED), silently ? Sign.SILENT : Sign.ENDED);
                 time.after(act.forMicros(), () -> startCold(slot));
             }
             case REPLACE_ROUTER -> {
-                platform.stopListening(slot.place, false);
+                gone(slot, false);
                 r.stop();
-                discovery.changed(slot.entry.with(Status.TERMINATED), Sign.ENDED);
                 slot.router = router("s-" + slot.place + "r" + ++replacements, r.zone(), r.kind());
                 time.after(act.forMicros(), () -> startCold(slot));
             }
--- a/emulator/src/test/java/baymoor/emulator/world/HostsTest.java
+++ b/emulator/src/test/java/baymoor/emulator/world/HostsTest.java
@@ -98,7 +98,7 @@
                 """ + more, "hosts");
         judge = new Judge(time::now, s.figures(), 0, b -> { });
         catalogue = new Catalogue(s, 1);
-        fills = new Fills(time, 100, () -> List.of(router));
+        fills = new Fills(time, 100, s.origin().fallMicros(), key -> router.voided(key));
         router = new Router("a", 0, s.routers().get(0), s.figures(), time, new Streams(1).of("a"), catalogue, fills,
                 judge, new Arrivals(judge, false), tally, fell::add);
         router.start(0);
