--- a/emulator/src/main/java/baymoor/emulator/sockets/SocketPlatform.java
+++ b/emulator/src/main/java/baymoor/emulator/sockets/SocketPlatform.java
@@ -132,7 +132,12 @@
         return address(BALANCERS_NET, number, port);
     }
 
-    /** Where a balancer listens to the others. */
+    @Override
+    public InetSocketAddress everyone() {
+        return null;
+    }
+
+    @Override
     public InetSocketAddress peer(int number) {
         return address(BALANCERS_NET, number, port + 1);
     }
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualFleet.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualFleet.java
@@ -12,9 +12,7 @@
 import baymoor.emulator.scenario.Scenario;
 import baymoor.emulator.world.BalancerConfig;
 import baymoor.emulator.world.Fleet;
-import baymoor.emulator.world.Listing;
 import baymoor.emulator.world.World;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -41,7 +39,6 @@
     private final Sabotage sabotage;
     private final UniformRandomProvider seeds;
     private final List<Balancer> balancers = new ArrayList<>();
-    private final List<InetSocketAddress> peers;
 
     private final class Balancer {
         final int number;
@@ -73,8 +70,7 @@
         this.watcher = watcher;
         seeds = streams.of("balancers");
         int count = scenario.balancers().count();
-        peers = IntStream.range(0, count).mapToObj(platform::peer).toList();
-        net.group(platform.everyone(), peers);
+        net.group(platform.everyone(), IntStream.range(0, count).mapToObj(platform::peer).toList());
         for (int b = 0; b < count; b++) {
             balancers.add(new Balancer(b));
         }
@@ -86,16 +82,12 @@
     }
 
     private void start(Balancer b) {
-        boolean talk = scenario.balancers().peers();
-        BalancerConfig.Addresses at = new BalancerConfig.Addresses(platform.balancer(b.number),
-                platform.address(world.discoveryPlace(), b.number), talk ? platform.peer(b.number) : null, peers,
-                talk ? platform.everyone() : null);
-        String json = BalancerConfig.json(scenario, b.number, seeds.nextLong(), at, Listing.object(world.index(), true,
-                world.listed(), place -> platform.address(place, b.number), platform::unixMillis));
+        String json = BalancerConfig.json(scenario, platform, world, b.number, seeds.nextLong());
         b.site.bear();
         try {
             Assembly assembly = new Assembly(Config.parse(json, Map.of()), new Assembly.Surroundings(b.site,
-                    sabotage.dialer(b.site, net.dialer(b.site)), (to, content) -> net.send(b.site, platform.peer(b.number), to, content),
+                    sabotage.dialer(b.site, net.dialer(b.site)),
+                    (to, content) -> net.send(b.site, platform.peer(b.number), to, content),
                     millis -> millis * 1000, MOST_VALUE_BYTES, new Counters(),
                     line -> LOG.atDebug().addKeyValue("instance", b.site.name()).addKeyValue("at_us", engine.elapsed())
                             .log(line)));
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualPlatform.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualPlatform.java
@@ -87,11 +87,13 @@
         return numbered(1, number, PORT);
     }
 
-    InetSocketAddress peer(int number) {
+    @Override
+    public InetSocketAddress peer(int number) {
         return numbered(1, number, PORT + 1);
     }
 
-    InetSocketAddress everyone() {
+    @Override
+    public InetSocketAddress everyone() {
         return numbered(1, (1 << 16) - 1, PORT + 1);
     }
 
--- a/emulator/src/main/java/baymoor/emulator/world/BalancerConfig.java
+++ b/emulator/src/main/java/baymoor/emulator/world/BalancerConfig.java
@@ -5,7 +5,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
-import java.util.List;
+import java.util.HexFormat;
 import java.util.Locale;
 
 /** Writes the configuration of a balancer of a scenario, in the form that the serving program reads. */
@@ -15,39 +15,38 @@
 
     private BalancerConfig() { }
 
-    /** Where a balancer finds others and is found. {@code peerListen} is null where balancers do not talk. */
-    public record Addresses(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress peerListen,
-            List<InetSocketAddress> peers, InetSocketAddress peersAll) { }
-
     private static String text(InetSocketAddress a) {
         return a.getAddress().getHostAddress() + ":" + a.getPort();
     }
 
     /**
-     * @param seed  of this start, new with each
-     * @param known the list as it was last held, or null
+     * The configuration of a balancer as it should start now.
+     *
+     * @param seed of this start, new with each
      */
-    public static String json(Scenario s, int number, long seed, Addresses at, ObjectNode known) {
+    public static String json(Scenario s, Platform platform, World world, int number, long seed) {
         ObjectNode config = Listing.JSON.createObjectNode();
-        config.put("name", "n" + number).put("listen", text(at.listen())).put("discovery", text(at.discovery()))
-                .put("seed", String.format("%016x", seed));
+        config.put("name", "n" + number).put("listen", text(platform.balancer(number)))
+                .put("discovery", text(platform.address(world.discoveryPlace(), number)))
+                .put("seed", HexFormat.of().toHexDigits(seed));
         config.putObject("limits").put("cores", 1.0).put("memory_mb", 128).put("sockets", s.balancers().sockets());
-        if (at.peerListen() != null) {
-            config.put("peer_listen", text(at.peerListen()));
+        if (s.balancers().peers()) {
+            config.put("peer_listen", text(platform.peer(number)));
             ArrayNode peers = config.putArray("peers");
-            at.peers().forEach(p -> peers.add(text(p)));
-            if (at.peersAll() != null) {
-                config.put("peers_all", text(at.peersAll()));
+            for (int b = 0; b < s.balancers().count(); b++) {
+                peers.add(text(platform.peer(b)));
+            }
+            if (platform.everyone() != null) {
+                config.put("peers_all", text(platform.everyone()));
             }
         }
-        if (known != null) {
-            config.set("known", known);
-        }
-        settings(config.putObject("settings"), s, number, at.peerListen() != null);
+        config.set("known", Listing.object(world.index(), true, world.listed(),
+                place -> platform.address(place, number), platform::unixMillis));
+        settings(config.putObject("settings"), s, number);
         return config.toString();
     }
 
-    private static void settings(ObjectNode set, Scenario s, int number, boolean peers) {
+    private static void settings(ObjectNode set, Scenario s, int number) {
         Scenario.Figures f = s.figures();
         set.put("me", number).put("siblings", s.balancers().count())
                 .put("az", s.zones().get(number % s.zones().size())).put("membership_mode", "subscribe")
@@ -73,7 +72,7 @@
         s.tenants().forEach(t -> tenants.addObject().put("name", t.name()).put("share", t.share())
                 .put("quota_per_s", requests * t.share()));
         set.putObject("limits").put("max_attempts", f.maxAttempts()).put("open_cap", 20_000).put("second_copies", false)
-                .put("may_cancel", f.mayCancel()).put("may_probe", s.balancers().probes()).put("may_tell", peers)
+                .put("may_cancel", f.mayCancel()).put("may_probe", s.balancers().probes()).put("may_tell", s.balancers().peers())
                 .put("retry_after", f.retryAfter()).put("max_retry_after", f.maxRetryAfterMicros())
                 .put("connect_timeout", f.connectMicros())
                 .put("idle_close", s.routers().stream().mapToLong(Scenario.RouterKind::idleMicros).min().orElse(0))
--- a/emulator/src/main/java/baymoor/emulator/world/Platform.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Platform.java
@@ -24,6 +24,12 @@
 
     InetSocketAddress balancer(int number);
 
+    /** Where a balancer listens to the others. */
+    InetSocketAddress peer(int number);
+
+    /** The address that reaches all balancers, or null where each has to be told by itself. */
+    InetSocketAddress everyone();
+
     /** Whether hosts have to tell the judge what comes to them, since nothing watches the balancers' connections. */
     boolean hostsTell();
 
