--- a/balancer/src/main/java/baymoor/net/DecisionThread.java
+++ b/balancer/src/main/java/baymoor/net/DecisionThread.java
@@ -3,9 +3,8 @@
 import baymoor.counters.Count;
 import baymoor.counters.Counters;
 import baymoor.link.Time;
+import java.util.ArrayDeque;
 import java.util.PriorityQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** The one thread that owns all state: runs what the drivers hand in, and what falls due, one after another. */
@@ -17,7 +16,16 @@
     /** Due before all else: what belongs to the present event is done before the next one is heard. */
     private static final long AT_ONCE = 0;
 
-    private final LinkedBlockingQueue<Posted> queue = new LinkedBlockingQueue<>();
+    private static final long MICROS_A_MILLI = 1_000;
+
+    /**
+     * What has come in and was not looked at yet, under its own monitor. Seen: where one thread of the process runs at a
+     * time, a queue of java.util.concurrent held the balancer up for good. Between two steps of a signal its waiter
+     * spins, trusting that the other thread goes on meanwhile; a monitor's waiter sleeps.
+     */
+    private final ArrayDeque<Posted> posted = new ArrayDeque<>();
+    /** What was taken over from there. */
+    private final ArrayDeque<Posted> queue = new ArrayDeque<>();
     private final PriorityQueue<Due> timers = new PriorityQueue<>();
     private final long startNanos = System.nanoTime();
     private final Counters counters;
@@ -60,7 +68,11 @@
 
     /** Hands a task to the decision thread, from any thread. */
     public void post(Runnable task) {
-        queue.add(new Posted(read(), task));
+        Posted one = new Posted(read(), task);
+        synchronized (posted) {
+            posted.add(one);
+            posted.notify();
+        }
     }
 
     @Override
@@ -91,7 +103,7 @@
         while (!stopped) {
             now = read();
             Due due = timers.peek();
-            Posted next = queue.peek();
+            Posted next = next();
             // Seen: while this thread was held up, answers that had come in waited here, and the time-outs of their
             // relays went first. What happened first is told first.
             if (due != null && due.atMicros <= now && (next == null || due.atMicros < next.atMicros)) {
@@ -102,12 +114,36 @@
                 }
                 continue;
             }
+            if (next != null) {
+                queue.poll();
+                perform(next.task);
+            } else {
+                sleep(due);
+            }
+        }
+    }
+
+    /** The next task that was handed in, or null. */
+    private Posted next() {
+        if (queue.isEmpty()) {
+            synchronized (posted) {
+                queue.addAll(posted);
+                posted.clear();
+            }
+        }
+        return queue.peek();
+    }
+
+    /** Sleeps until something is handed in, or a timer is due (to the millisecond above, as monitors have it). */
+    private void sleep(Due due) {
+        synchronized (posted) {
+            if (!posted.isEmpty()) {
+                return;
+            }
             try {
-                next = due == null ? queue.take() : queue.poll(due.atMicros - now, TimeUnit.MICROSECONDS);
-                if (next != null) {
-                    now = read();
-                    perform(next.task);
-                }
+                // 0 would be for ever; what is due within a millisecond is waited for that long.
+                long millis = due == null ? 0 : (due.atMicros - now + MICROS_A_MILLI - 1) / MICROS_A_MILLI;
+                posted.wait(Math.max(due == null ? 0 : 1, millis));
             } catch (InterruptedException e) {
                 stopped = true;
             }
--- a/balancer/src/test/java/baymoor/net/DecisionThreadTest.java
+++ b/balancer/src/test/java/baymoor/net/DecisionThreadTest.java
@@ -5,6 +5,7 @@
 
 import baymoor.counters.Count;
 import baymoor.counters.Counters;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
@@ -62,4 +63,25 @@
         thread.stop();
         runner.join(10_000);
     }
+
+    /** Danger: a waiter that spins till another thread goes on holds the program up where one thread runs at a time. */
+    @Test
+    public void itWaitsOnAMonitorAndInNoQueueThatSpins() throws InterruptedException {
+        DecisionThread thread = new DecisionThread(new Counters(), line -> { });
+        CountDownLatch begun = new CountDownLatch(1);
+        thread.post(() -> {
+            thread.after(60_000_000, () -> { });
+            begun.countDown();
+        });
+        Thread runner = new Thread(thread);
+        runner.start();
+        assertTrue(begun.await(10, TimeUnit.SECONDS));
+        while (runner.getState() != Thread.State.TIMED_WAITING) {
+            Thread.onSpinWait();
+        }
+        assertTrue(Arrays.stream(runner.getStackTrace())
+                .noneMatch(frame -> frame.getClassName().startsWith("java.util.concurrent.")));
+        thread.stop();
+        runner.join(10_000);
+    }
 }
