Balancers tell each other their loads; a crowded cache gives up slots, a cold one takes more

No origin refusals, no refused handshakes, 14 list watches, 150 peer messages a second: ruled out. Each balancer sends a router one request a second, so that FIRST_LIMIT (16 each, 224 together) never bound, and the cold ones' allowance (Slots.weigh) fell with what the crowded warm ones still answered, though three in four of what it paid for were quick misses.

Now a message also holds what its sender has out at each router (3 bytes a router, every 200 ms in service). The limit counts what all have out; a cache over 1.25 times the mean load gives up slots, the same ones at every balancer; a miss pays a cold cache's allowance back but for MISS_COST; and that allowance goes by the most that warm ones have taken.

--- a/balancer/src/main/java/merlinstep/Cache.java
+++ b/balancer/src/main/java/merlinstep/Cache.java
@@ -6,7 +6,7 @@
     final boolean origin;
     String kind;
     Area area;
-    int cell, outstanding, unanswered;
+    int cell, outstanding, elsewhere, unanswered;
     boolean running, suspect;
     double size, sent, taken, tokens, failing;
     double part = 1;
@@ -51,6 +51,9 @@
         if (failing < Rules.DOUBTFUL) restore();
     }
 
+    /** What is out here from all balancers, as far as they told. */
+    int load() { return outstanding + elsewhere; }
+
     /** Moves the part of its answers that are errors. */
     void answered(boolean failed) { failing += ((failed ? 1 : 0) - failing) / Rules.ANSWERS_SEEN; }
 
--- a/balancer/src/main/java/merlinstep/Figures.java
+++ b/balancer/src/main/java/merlinstep/Figures.java
@@ -10,12 +10,12 @@
     private static final int LONGEST_POSITION_MILLIS = 10_000;
     static final Figures NONE = new Figures(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0);
 
-    byte[] encode(int incarnation, int sequence) {
-        ByteBuffer b = ByteBuffer.allocate(BYTES).put(VERSION).putShort((short) incarnation).putInt(sequence);
+    byte[] encode(int incarnation, int sequence, byte[] loads) {
+        ByteBuffer b = ByteBuffer.allocate(BYTES + loads.length).put(VERSION).putShort((short) incarnation).putInt(sequence);
         for (int v : new int[] {period, positionMillis, fetched, queue, credits, draw, outstanding}) {
             b.putShort((short) Math.min(v, 0xffff));
         }
-        return b.putFloat(weight).putFloat(x).putInt(answers).putLong(latencyMillis).putInt(failures).array();
+        return b.putFloat(weight).putFloat(x).putInt(answers).putLong(latencyMillis).putInt(failures).put(loads).array();
     }
 
     static Figures decode(ByteBuffer b) {
--- a/balancer/src/main/java/merlinstep/Peer.java
+++ b/balancer/src/main/java/merlinstep/Peer.java
@@ -8,6 +8,8 @@
     boolean fresh;
     long heardMicros = Long.MIN_VALUE;
     int incarnation, sequence;
+    /** What it last told to have out at each cache. */
+    byte[] loads = Loads.NONE;
 
     /** Its estimate of X; no bound while it is silent or has learnt none. */
     double allowance() {
@@ -15,7 +17,7 @@
     }
 
     /** Takes over a message; the counts of a restarted balancer begin anew. */
-    void hear(int sender, int number, long nowMicros, Figures figures) {
+    void hear(int sender, int number, long nowMicros, Figures figures, byte[] out) {
         if (heardMicros == Long.MIN_VALUE || sender != incarnation) {
             counted = figures;
         }
@@ -24,5 +26,6 @@
         heardMicros = nowMicros;
         fresh = true;
         said = figures;
+        loads = out;
     }
 }
--- a/balancer/src/main/java/merlinstep/Rules.java
+++ b/balancer/src/main/java/merlinstep/Rules.java
@@ -44,6 +44,9 @@
     static final int COUNTERS = 2048; // a row: far more than keys that can be hot
     static final double MISS_COST = 0.2; // work of a miss against a hit's, no more than a guess
     static final double FIRST_LIMIT = 16; // attempts out at a cache until its answers tell
+    static final long LOADS_MICROS = 200_000; // between messages in service: an answer's time, as queues move
+    static final double SPILL = 1.25; // of the mean load: a cache with more gives some of its slots to others
+    static final double SPILL_SLACK = 2; // attempts above that, as few are out in quiet times
     static final double LIMIT_CUT = 0.85; // of that limit after an answer slower than half its aim
     static final int SILENT_ATTEMPTS = 3; // unanswered ones that put a cache in doubt: not bad luck
     static final double SILENT_LATENCIES = 3; // mean latencies of silence that prove it
@@ -366,7 +369,8 @@
             boolean pressed = held.queued() > 0 || f.queue() > 0 || ledger.contended || ledger.credits <= 1;
             boolean changed = ledger.fetched != f.fetched() || held.queued() != f.queue()
                     || attempts.originOutstanding != f.outstanding() || ledger.period != f.period();
-            long gap = !changed ? PERIOD_MICROS : pressed ? ledger.subperiodMicros / 2 : PERIOD_MICROS / 2;
+            long calm = attempts.jobs.isEmpty() ? PERIOD_MICROS / 2 : LOADS_MICROS;
+            long gap = !changed ? PERIOD_MICROS : pressed ? ledger.subperiodMicros / 2 : calm;
             if (me.heardMicros != NEVER && now < me.heardMicros + gap) return;
             me.heardMicros = now;
             me.said = new Figures(ledger.period, ledger.positionMillis(), ledger.fetched, held.queued(),
@@ -374,20 +378,23 @@
                     attempts.originOutstanding, budget.learnt ? (float) budget.x : 0,
                     (int) budget.answers, budget.latencyMillis, (int) budget.failures);
             if (all.length == 1 || !settings.limits().mayTellPeers()) return;
-            out.accept(new TellPeer(TellPeer.EVERYONE, me.said.encode(me.incarnation, ++me.sequence)));
+            byte[] loads = Loads.of(slots.caches);
+            out.accept(new TellPeer(TellPeer.EVERYONE, me.said.encode(me.incarnation, ++me.sequence, loads)));
         }
 
         void heard(int from, byte[] content) {
             if (from < 0 || from >= all.length || from == settings.index() || content == null
-                    || content.length != Figures.BYTES || content[0] != Figures.VERSION) return;
-            ByteBuffer b = ByteBuffer.wrap(content, 1, Figures.BYTES - 1);
+                    || content.length < Figures.BYTES || content[0] != Figures.VERSION) return;
+            ByteBuffer b = ByteBuffer.wrap(content, 1, content.length - 1);
             int incarnation = b.getShort() & 0xffff;
             int sequence = b.getInt();
             Figures f = Figures.decode(b);
+            byte[] loads = new byte[b.remaining()];
+            b.get(loads);
             Peer p = all[from];
             boolean known = p.heardMicros != NEVER && incarnation == p.incarnation;
             if (!f.possible() || known && sequence <= p.sequence) return; // foreign, repeated or overtaken
-            p.hear(incarnation, sequence, now, f);
+            p.hear(incarnation, sequence, now, f, loads);
             for (int i = 0; i < from; i++) if (all[i].fresh) return;
             ledger.follow(f.period(), f.positionMillis());
         }
@@ -397,6 +404,7 @@
     final class Slots {
         private final List<Cache> caches = new ArrayList<>();
         private final Map<Long, Cache> byId = new HashMap<>();
+        private final Map<Integer, Cache> byTag = new HashMap<>();
         private final Map<String, Area> areas = new HashMap<>();
         private final Map<String, Double> largestOfKind = new HashMap<>();
         private final Cache[] ranked = new Cache[SLOTS * RANKED];
@@ -404,7 +412,7 @@
         private Cache origin;
         private final KeyCounts counts = new KeyCounts(COUNTERS);
         private final boolean live = settings.weights() == Weights.LIVE; // then sizes fall with load
-        private double usable;
+        private double usable, meanLoad, mostTaken;
         private double hitMicros = shortestAimMicros / 4.0;
         private long halvedMicros = NEVER;
         private long heardMicros = NEVER / 2;
@@ -445,6 +453,8 @@
             caches.sort(Comparator.comparingLong(c -> c.id));
             origin = null;
             for (Cache c : caches) if (c.origin && origin == null) origin = c;
+            byTag.clear();
+            for (Cache c : caches) byTag.put(Loads.tag(c.id), c);
             rank(came, went);
             weigh();
         }
@@ -477,8 +487,10 @@
 
         /** Each cache's part of its slots: its size against the largest, times how warm it is at least. */
         private void weigh() {
-            double largest = 0, taken = 0;
+            double largest = 0, taken = 0, load = 0;
             usable = 0;
+            for (Cache c : caches) c.elsewhere = 0;
+            for (Peer p : peers.all) if (now < p.heardMicros + PERIOD_MICROS) Loads.add(p.loads, byTag);
             for (Cache c : caches) {
                 if (c.origin) continue;
                 if (live) largestOfKind.merge(c.kind, c.size, Math::max);
@@ -489,13 +501,17 @@
                 c.part = (sized ? Math.max(0.05, size(c) / largest) : 1) * warmth(c);
                 if (c.origin || out(c)) continue;
                 taken += c.taken;
+                load += c.load();
                 usable += c.part;
             }
+            meanLoad = usable > 0 ? load / usable : 0;
             // Danger: misses come back fast, so a cold cache looks idle and would draw all until it falls.
             // It gets no more than its part of what warm ones get, times a part of that multiple.
             double decay = Math.exp(-(double) ledger.subperiodMicros / COUNT_HALF_LIFE_MICROS);
             double most = FALL_PART * settings.rules().fallMultiple();
-            double fill = usable > 0 ? taken / usable * (1 - decay) * most : 0;
+            // Danger: warm ones that are crowded answer less, and cold ones would get less just then.
+            mostTaken = Math.max(mostTaken * (1 - (1 - decay) / 8), usable > 0 ? taken / usable : 0);
+            double fill = mostTaken * (1 - decay) * most;
             for (Cache c : caches) {
                 c.tokens = Math.min(Math.max(1, 4 * fill * c.part), c.tokens + fill * c.part);
                 c.sent *= decay;
@@ -545,7 +561,16 @@
         boolean usable(Cache c) { return c != null && c.running && !out(c) && room(c); }
 
         boolean room(Cache c) {
-            return c.outstanding < c.limit && now >= c.closedUntilMicros && (!cold(c) || c.tokens >= 1);
+            return c.load() < c.limit && now >= c.closedUntilMicros && (!cold(c) || c.tokens >= 1);
+        }
+
+        /**
+         * The part of its slots that a cache keeps. Danger: each balancer has little out where a queue is
+         * long, as keys fall alike at all. The same slots go to the next cache at each, and find keys there.
+         */
+        private double kept(Cache c) {
+            double most = SPILL * meanLoad * c.part + SPILL_SLACK;
+            return c.elsewhere > 0 && c.load() > most ? Math.pow(most / c.load(), 2) : 1;
         }
 
         /** Danger: one that turns away all, with nothing of ours there, keeps its keys waiting for it. */
@@ -564,13 +589,14 @@
                 if (out(c)) return c;
                 last = c;
                 // A part of the slots, not of time: the same ones at every balancer, and few move.
-                if ((Hash.mix(slot * 31L ^ c.id * 0x9e3779b97f4a7c15L) >>> 11) * 0x1p-53 >= c.part) continue;
+                double place = (Hash.mix(slot * 31L ^ c.id * 0x9e3779b97f4a7c15L) >>> 11) * 0x1p-53;
+                if (place >= c.part * kept(c)) continue;
                 if (cold(c) && c.tokens < 1) continue; // the next one takes what a cold cache can't
                 if (shut(c)) continue;
                 found++;
                 if (!room(c)) continue;
-                double busy = (c.sent + c.outstanding) / c.part;
-                double lead = best == null ? 1 : (best.sent + best.outstanding) / best.part - busy;
+                double busy = (c.sent + c.load()) / c.part;
+                double lead = best == null ? 1 : (best.sent + best.load()) / best.part - busy;
                 ties = lead > 0 ? 1 : ties + 1;
                 if (lead > 0 || lead == 0 && random.nextInt(ties) == 0) best = c;
             }
@@ -599,13 +625,14 @@
             boolean late = outcome == Outcome.TIMED_OUT || served && latencyMicros > aimMicros / 2;
             if ((late || outcome == Outcome.FULL) && now >= c.limitCutMicros) {
                 c.limitCutMicros = now + latencyMicros;
-                c.limit = Math.max(1, Math.min(c.limit, c.outstanding + 1) * LIMIT_CUT);
-            } else if (served && !late && c.outstanding + 1 >= c.limit) {
+                c.limit = Math.max(1, Math.min(c.limit, c.load() + 1) * LIMIT_CUT);
+            } else if (served && !late && c.load() + 1 >= c.limit) {
                 c.limit += 1 / c.limit;
             }
             // Danger: what is turned away or times out is no measure of what a cache takes.
             c.taken += served ? 1 : outcome == Outcome.MISS ? MISS_COST : 0;
             if (outcome == Outcome.MISS) c.sent -= Math.min(c.sent, 1 - MISS_COST);
+            if (outcome == Outcome.MISS) c.tokens += 1 - MISS_COST; // what it cost, not what it might have
             if (outcome == Outcome.FULL) {
                 c.gapMicros = (long) Math.min(pace * PERIOD_MICROS, Math.max(2 * c.gapMicros, hitMicros / 4));
                 c.closedUntilMicros = now + (long) ((0.5 + random.nextDouble()) * c.gapMicros);
--- a/balancer/src/test/java/merlinstep/RulesTest.java
+++ b/balancer/src/test/java/merlinstep/RulesTest.java
@@ -12,6 +12,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -442,7 +443,65 @@
     }
 
     private static byte[] message(int incarnation, int sequence, float x, int queue) {
-        return new Figures(0, 100, 0, queue, queue * 2f, 0, 5, 0, x, 0, 0, 0).encode(incarnation, sequence);
+        return new Figures(0, 100, 0, queue, queue * 2f, 0, 5, 0, x, 0, 0, 0).encode(incarnation, sequence, Loads.NONE);
+    }
+
+    private static void tell(Timeline t, int from, int sequence, long cache, int out) {
+        byte[] loads = ByteBuffer.allocate(3).putShort((short) Loads.tag(cache)).put((byte) out).array();
+        Figures quiet = new Figures(0, 100, 0, 0, 0, 0, 5, 0, 0, 0, 0, 0);
+        t.event(new PeerMessage(from, quiet.encode(from, sequence, loads)));
+        t.pass(60_000);
+    }
+
+    @Test
+    void aCacheThatOthersCrowdGivesUpSomeOfItsKeysAndTheSameOnesAtEachBalancer() {
+        Timeline one = Timeline.with(0, 3, 6);
+        Timeline other = Timeline.with(1, 3, 6);
+        Map<Long, Long> before = owners(one, 600);
+        tell(one, 2, 1, 3, 12);
+        tell(other, 2, 1, 3, 12);
+        Map<Long, Long> after = owners(one, 600);
+        assertEquals(after, owners(other, 600));
+        long kept = after.values().stream().filter(c -> c == 3).count();
+        long had = before.values().stream().filter(c -> c == 3).count();
+        assertTrue(kept > 0 && kept < had / 2, kept + " of " + had);
+        before.forEach((key, owner) -> assertTrue(owner == 3 || owner.equals(after.get(key))));
+        one.pass(2 * SECOND); // unheard since: what it told is no more
+        assertEquals(before, owners(one, 600));
+    }
+
+    @Test
+    void whatOthersHaveOutCountsAgainstTheLimitOfACache() {
+        Timeline t = Timeline.with(0, 2, 1);
+        tell(t, 1, 1, 1, (int) Rules.FIRST_LIMIT);
+        assertEquals(List.of(), sends(t.read("a", 7)));
+        tell(t, 1, 2, 1, 0);
+        assertEquals(1, sends(t.actions).size());
+    }
+
+    @Test
+    void aMissCostsAColdCacheLessThanAnAnswer() {
+        int[] asked = new int[2];
+        List<Long> itsKeys = new ArrayList<>(); // more of them than its part: its tokens are what bounds it
+        owners(Timeline.with(0, 1, 4), 3_200).forEach((key, owner) -> {
+            if (owner == 4) {
+                itsKeys.add(Hash.mix(key + 1));
+            }
+        });
+        for (int way = 0; way < 2; way++) {
+            Timeline t = Timeline.with(0, 1, 3);
+            t.list(ListKind.CHANGES, List.of(cache(4, State.RUNNING, t.now)));
+            for (int i = 0; i < itsKeys.size(); i++) {
+                List<Send> sends = sends(t.read("r" + i, itsKeys.get(i)));
+                for (int tries = 0; !sends.isEmpty() && tries < 3; tries++) {
+                    boolean cold = sends.get(0).server() == 4;
+                    asked[way] += cold ? 1 : 0;
+                    sends = sends(t.end(sends.get(0), cold && way == 1 ? Outcome.MISS : Outcome.SERVED));
+                }
+                t.pass(10_000);
+            }
+        }
+        assertTrue(asked[1] > 2 * asked[0], asked[0] + " answers, " + asked[1] + " misses");
     }
 
     @Test
