A period ends by ticks only, and who has learnt no X goes by the peers that have

The effective X stood at 324 to 486 for five seconds though the four that had not restarted held 1,094 and more; one restarted balancer stayed at 324 with its queue full throughout. Causes: Ledger.follow set the new period number when the leader's word came before the own tick, so Budget.endOfPeriod was skipped period after period at balancers that lag; and Budget.effective took a newcomer's first guess into the minimum. Now follow shifts the phase and the tick ends the period; a newcomer goes by the lowest X that a peer has learnt. Ruled out: the origin (no refusal, no time-out), lost messages (all 14 fresh), growth held by latency (mean under 1.6 times).

--- a/balancer/src/main/java/merlinstep/Rules.java
+++ b/balancer/src/main/java/merlinstep/Rules.java
@@ -180,13 +180,21 @@
 
         int positionMillis() { return (int) ((now - periodStartMicros) / 1000); }
 
-        /** Takes over the phase of the lowest-numbered peer heard: that needs no common clock. */
+        /**
+         * Takes over the phase of the lowest-numbered peer heard: that needs no common clock. Danger: where
+         * its word of a new period came first, the old one ended unseen and taught nothing; so ticks end it.
+         */
         void follow(int peerPeriod, int positionMillis) {
-            long start = now - positionMillis * 1000L;
-            if (period == peerPeriod && Math.abs(start - periodStartMicros) <= subperiodMicros / 2) return;
-            periodStartMicros = start;
-            if (period != peerPeriod) fetched = 0;
-            period = peerPeriod;
+            long position = positionMillis * 1000L;
+            long ahead = (short) (peerPeriod - period) * PERIOD_MICROS + position - (now - periodStartMicros);
+            if (Math.abs(ahead) <= subperiodMicros / 2) return;
+            if (Math.abs(ahead) < PERIOD_MICROS) {
+                periodStartMicros = Math.min(now, periodStartMicros - ahead);
+            } else {
+                periodStartMicros = now - position;
+                period = peerPeriod;
+                fetched = 0;
+            }
         }
 
         private void deal() {
@@ -299,9 +307,10 @@
 
         /** The lowest of this estimate and those of fresh peers that have learnt one. */
         double effective() {
-            double low = x;
+            double low = Double.MAX_VALUE;
             for (Peer p : peers.all) if (p != peers.me) low = Math.min(low, p.allowance());
-            return low;
+            // Danger: most restart at once, and what they have not learnt yet would bind them and then all.
+            return learnt || low == Double.MAX_VALUE ? Math.min(x, low) : low;
         }
 
         void ended(Outcome outcome, long latencyMicros) {
@@ -326,6 +335,7 @@
             double delivered = (double) n * settings.balancers() / heard;
             double mean = n > 0 ? 1000.0 * millis / n : 0;
             double least = leastLatencyMicros();
+            if (!learnt) x = Math.max(x, effective());
             x = Math.min(x, effective() * GROWTH); // else a peer's low one goes untested
             boolean failing = bad >= 2 && bad > CONGESTED_FAILURES * (n + bad);
             if (failing && !cutLately) { // a cut shows a period later
--- a/balancer/src/test/java/merlinstep/RulesTest.java
+++ b/balancer/src/test/java/merlinstep/RulesTest.java
@@ -514,6 +514,26 @@
         assertEquals(20, t.rules.budget.effective(), 1e-6);
     }
 
+    @Test
+    void aPeriodThatALowerNumberedPeerEndsFirstStillTeachesX() {
+        // Danger: its word of the new period came just before the own tick, each time, and X stood still.
+        Timeline t = Timeline.with(1, 2, 3);
+        for (int i = 1; i <= 10; i++) {
+            Figures of = new Figures(i, 0, 0, 0, 0, 0, 5, 0, 0, 4 * i, 200L * i, 0);
+            t.event(new PeerMessage(0, of.encode(1, i, Loads.NONE)));
+            t.pass(999_000);
+        }
+        assertTrue(t.rules.peers.all[0].counted.answers() >= 4 * 8);
+    }
+
+    @Test
+    void whoHasLearntNoXGoesByThePeersThatHave() {
+        Timeline t = Timeline.with(0, 2, 3);
+        double first = t.rules.budget.effective();
+        t.event(new PeerMessage(1, message(7, 1, (float) (4 * first), 0)));
+        assertEquals(4 * first, t.rules.budget.effective(), 0.01);
+    }
+
     @Test
     void oneOldLowEstimateDoesNotBindForEver() {
         Timeline t = Timeline.with(0, 2, 3);
