--- a/balancer/src/main/java/baymoor/config/Config.java
+++ b/balancer/src/main/java/baymoor/config/Config.java
@@ -62,6 +62,10 @@
         if (sockets < FEWEST_SOCKETS) {
             throw new BadConfig("config: limits.sockets is under " + FEWEST_SOCKETS);
         }
+        // The start line has sized the heap by it already; what it could not read is named here, before the listening.
+        if (f.object("limits").whole("memory_mb") < 1) {
+            throw new BadConfig("config: limits.memory_mb is under 1");
+        }
         JSONObject known = f.json("known");
         Decisions.Settings module = module(f.object("settings"), f.seed("seed"));
         List<InetSocketAddress> peers = f.addresses("peers");
--- a/balancer/src/test/java/baymoor/config/ConfigTest.java
+++ b/balancer/src/test/java/baymoor/config/ConfigTest.java
@@ -12,7 +12,7 @@
 
     static final String GOOD = """
             {"name":"n0","listen":"127.0.0.1:6379","discovery":"127.0.0.1:8500","seed":"92094eb940cf389a",
-             "limits":{"sockets":1024},"peers":["127.0.0.1:1"],
+             "limits":{"sockets":1024,"memory_mb":128},"peers":["127.0.0.1:1"],
              "settings":{"me":0,"siblings":1,"tick":5000,"extra":{"mode":"aside","origin_kind":1},
               "skus":["two-core","origin"],"classes":[{"name":"read","hard_limit":1500000,"effect":"retryable"}],
               "limits":{"max_attempts":5,"connect_timeout":250000}}}""";
@@ -35,6 +35,9 @@
             {"\"127.0.0.1:8500\"", "7", "discovery"},
             {"\"92094eb940cf389a\"", "\"xyz\"", "seed"},
             {"\"sockets\":1024", "\"sockets\":10", "limits.sockets"},
+            {"\"memory_mb\":128", "\"memory_mb\":\"x\"", "limits.memory_mb"},
+            {"\"memory_mb\":128", "\"memory_mb\":0", "limits.memory_mb"},
+            {",\"memory_mb\":128", "", "limits.memory_mb is missing"},
             {"[\"127.0.0.1:1\"]", "[1]", "peers[0]"},
             {"\"me\":0", "\"me\":\"0\"", "settings.me"},
             {"\"me\":0", "\"you\":0", "settings.me"},
