--- a/balancer/src/main/java/baymoor/serve/Main.java
+++ b/balancer/src/main/java/baymoor/serve/Main.java
@@ -16,7 +16,7 @@
 
     private static final int USAGE = 2;
     private static final int CANNOT_START = 1;
-    private static final int REHEARSED = 60;
+    private static final int REHEARSED = 250;
 
     private Main() { }
 
