--- a/emulator/src/test/java/baymoor/emulator/virtual/ReplayTest.java
+++ b/emulator/src/test/java/baymoor/emulator/virtual/ReplayTest.java
@@ -19,7 +19,7 @@
 public class ReplayTest {
 
     static final List<String> EXAMPLES = List.of("january-surge", "data-centre-cut", "slow-store", "rolling-restart",
-            "cold-router", "scan", "bad-routers");
+            "cold-router", "scan", "bad-routers", "mass-kill", "zone-back-cold", "replaced-routers");
 
     private static Scenario example(String name) throws Exception {
         return ScenarioReader.read(Path.of("examples/scenarios/" + name + ".toml"));
