--- a/balancer/src/test/java/baymoor/World.java
+++ b/balancer/src/test/java/baymoor/World.java
@@ -190,9 +190,10 @@
 
     /** A command of the deploy file, with assertions on. */
     static String deployed(String name) throws IOException {
-        String start = name + " = \"exec java";
+        String start = name + " = \"";
         return Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith(start))
-                .findFirst().orElseThrow().replace(start, "exec java -ea").replaceAll("\"$", "");
+                .findFirst().orElseThrow().substring(start.length()).replace("exec java", "exec java -ea")
+                .replaceAll("\"$", "");
     }
 
     /** Replaces the configuration file and sends SIGHUP. */
