The judge forgets what a balancer's forerunner was told: the demo's broken drain

Checked: s-5 drains from 6 s to 9 s of the demo and comes back; the balancers restart at 9 s. While a balancer is down the list shows s-5 in service again, the new process gets that list as 'known' and no word of a change ever follows. Judge.told kept the word that the old process had heard, as only Judge.died (a kill) dropped it, and VirtualFleet.restart and ProcessFleet.restart, the planned ones, never call that. The balancer is right, the judge was wrong; only moved times. Change: a start tells the judge (World.starts): what the forerunner was told goes, the list in the configuration counts as told. Test: ReplayTest restarts both balancers in virtual time while three drained routers come back; without the call it breaks 'drained' at 5.86 s (s-3, 1.58 s after it was told to stop), with it nothing. JudgeTest has the rule by itself.

--- a/emulator/src/main/java/baymoor/emulator/judge/Judge.java
+++ b/emulator/src/main/java/baymoor/emulator/judge/Judge.java
@@ -247,6 +247,14 @@
         }
     }
 
+    /**
+     * A balancer's process starts: what its forerunner was told is nothing that it can know. Seen: a router drained and
+     * came back before a planned restart, the new process took it from its list as in service, and the old word stood.
+     */
+    public void started(int balancer) {
+        told.remove(balancer);
+    }
+
     /** A balancer's process is held up from outside until a time. */
     public void stalled(int balancer, long untilMicros) {
         stalledUntil.merge(balancer, untilMicros + figures.answerSlackMicros(), Math::max);
--- a/emulator/src/main/java/baymoor/emulator/sockets/ProcessFleet.java
+++ b/emulator/src/main/java/baymoor/emulator/sockets/ProcessFleet.java
@@ -77,6 +77,7 @@
         if (ending) {
             return;
         }
+        world.starts(b.number);
         try {
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command).directory(home.toFile());
             builder.environment().put("ROUTER_CONFIG", Configurations.write(scenario, platform, world, seeds.nextLong(), b.number, folder)
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualFleet.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualFleet.java
@@ -84,6 +84,7 @@
     private void start(Balancer b) {
         String json = BalancerConfig.json(scenario, platform, world, b.number, seeds.nextLong());
         b.site.bear();
+        world.starts(b.number);
         try {
             Assembly assembly = new Assembly(Config.parse(json, Map.of()), new Assembly.Surroundings(b.site,
                     sabotage.dialer(b.site, net.dialer(b.site)),
--- a/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
+++ b/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
@@ -145,6 +145,12 @@
         return c;
     }
 
+    /** A balancer's process starts with the list as it is now; of what its forerunner was told it knows nothing. */
+    void given(int balancer) {
+        judge.started(balancer);
+        told(balancer, listed());
+    }
+
     private void told(int balancer, Collection<Entry> entries) {
         for (Entry e : entries) {
             judge.told(balancer, e.name(), e.status() != Status.IN_SERVICE, e.sinceMicros());
--- a/emulator/src/main/java/baymoor/emulator/world/World.java
+++ b/emulator/src/main/java/baymoor/emulator/world/World.java
@@ -121,6 +121,11 @@
         return discovery.index();
     }
 
+    /** A balancer's process starts, with the present list in its configuration. */
+    public void starts(int balancer) {
+        discovery.given(balancer);
+    }
+
     /** Lets all hosts listen, with what they would hold in service; the balancers may start now. */
     public void open(Fleet balancers) {
         fleet = balancers;
--- a/emulator/src/test/java/baymoor/emulator/judge/JudgeTest.java
+++ b/emulator/src/test/java/baymoor/emulator/judge/JudgeTest.java
@@ -215,6 +215,25 @@
         expect(Rule.DRAINED);
     }
 
+    @Test
+    public void aNewProcessKnowsNothingOfWhatItsForerunnerWasTold() {
+        judge.told(0, "a", true, 0);
+        judge.told(1, "a", true, 0);
+        judge.started(0);
+        now += 900_000;
+        taken("map-read");
+        judge.relayed("r", 0, "a", 1);
+        judge.relayClosed(1);
+        expect();
+        judge.told(0, "a", true, 0); // by its own first list: from now on the rule holds
+        now += 500_001;
+        judge.relayed("r", 0, "a", 2);
+        expect(Rule.DRAINED);
+        judge.relayClosed(2);
+        judge.relayed("r", 1, "a", 3); // and it held all the time for the other one
+        expect(Rule.DRAINED, Rule.DRAINED);
+    }
+
     @Test
     public void aHostBackInServiceMayBeSentTo() {
         judge.told(0, "a", true, 0);
--- a/emulator/src/test/java/baymoor/emulator/virtual/ReplayTest.java
+++ b/emulator/src/test/java/baymoor/emulator/virtual/ReplayTest.java
@@ -75,4 +75,16 @@
         assertTrue(connects.get(0).size() == 5);
         assertEquals(connects.get(0), connects.get(1));
     }
+
+    @Test
+    public void aHostThatCameBackWhileABalancerRestartedMayBeSentTo() throws Exception {
+        // As in the demo: all balancers are down when the list shows the drained routers again.
+        StringBuilder text = new StringBuilder("warm_up = \"0s\"\nduration = \"9s\"\n[traffic]\nrate = \"60/s\"\n"
+                + "[[script]]\nat = \"4s\"\ndo = \"restart-balancers\"\nshare = \"100%\"\nwithin = \"1ms\"\nat_once = \"100%\"\n");
+        for (int i = 0; i < 3; i++) {
+            text.append("[[script]]\nat = \"1s\"\ndo = \"drain-router\"\nfor = \"").append(3 + i).append("s\"\n");
+        }
+        VirtualRun.Result result = VirtualRun.play(ScenarioReader.parse(text.toString(), "back"), VirtualRun.Options.seed(1));
+        assertEquals(List.of(), result.broken().stream().map(b -> b.text()).toList());
+    }
 }
