Messages bounded by their price; a credit dealt by turns waits for its balancer's next miss

Cause: Peers.tell waits half a subperiod wherever credits <= 1, which at a hundred balancers is always, and 200 ms otherwise, whatever the fleet. Cause: Ledger.deal takes 'more queued than one subperiod's pace' (33 of a hundred balancers) for very high input, and then deals 0.3 credits a subperiod and balancer, which are lost on whoever has no miss just then, 4 in 5 of them. Change: messages cost at most a hundredth of the worth by their price, size, hearers and the requests that come, and are sent once a second at least; loads count for two periods. Very high input is more than one miss a balancer. A credit that falls to a balancer with no miss is kept, one at most, so that the tier is over X*T by B at most. The bound on messages alone does nothing in a small fleet: none of 4 or 5 reaches it.

--- a/balancer/src/main/java/merlinstep/KeyCounts.java
+++ b/balancer/src/main/java/merlinstep/KeyCounts.java
@@ -24,6 +24,9 @@
         return (Math.min(counters[a], counters[b]) - 1) / total;
     }
 
+    /** All that was counted, less what was forgotten. */
+    double total() { return total; }
+
     /** Forgets half of what was counted. */
     void halve() {
         total /= 2;
--- a/balancer/src/main/java/merlinstep/Rules.java
+++ b/balancer/src/main/java/merlinstep/Rules.java
@@ -45,6 +45,8 @@
     static final double MISS_COST = 0.2; // work of a miss against a hit's, no more than a guess
     static final double FIRST_LIMIT = 16; // attempts out at a cache until its answers tell
     static final long LOADS_MICROS = 200_000; // between messages in service: an answer's time, as queues move
+    static final double TELLING_PART = 0.01; // of the worth: what messages may cost; loads bring more
+    static final double FULL_MESSAGE_BYTES = 256; // the price of messages is that of such a one a request
     static final double SPILL = 1.25; // of the mean load: a cache with more gives some of its slots to others
     static final double SPILL_SLACK = 2; // attempts above that, as few are out in quiet times
     static final double LIMIT_CUT = 0.85; // of that limit after an answer slower than half its aim
@@ -150,7 +152,7 @@
         int fetched;
         boolean contended;
         private long periodStartMicros;
-        private int subperiod, credits, outstandingCap;
+        private int subperiod, credits, kept, outstandingCap;
         private boolean bound;
 
         Ledger() {
@@ -219,7 +221,8 @@
             double window = WINDOW * x * Math.max(budget.leastLatencyMicros(), subperiodMicros) / 1e6;
             long d = Math.max(0, Math.min(total - spent, (long) Math.ceil(window) - outstanding));
             double pace = x / subperiods;
-            contended = queued > Math.ceil(pace);
+            boolean before = contended;
+            contended = queued > Math.max(Math.ceil(pace), b);
             bound |= queued > 0 && (contended || d == 0);
             boolean even = !contended && (subperiod == 0 || queued == 0);
             if (even) for (int j = 0; j < b; j++) weights[j] = peers.all[j].fresh ? 1 : 0;
@@ -229,7 +232,16 @@
             outstandingCap = (int) Math.max(2, Math.ceil(sum > 0 ? window * weights[me] / sum : window));
             // Dealt on what was told; what has gone out since is paid from it.
             Figures told = peers.me.said;
-            credits = share - fetched + (told.period() == period ? told.fetched() : 0);
+            if (!contended) {
+                kept = 0;
+                credits = share - fetched + (told.period() == period ? told.fetched() : 0);
+            } else {
+                // Danger: of a hundred, most have no miss when their turn comes. Each keeps one credit for
+                // its next, so that the tier is over a period's allowance by one each at most.
+                kept = before ? Math.min(kept, Math.max(0, credits)) : 0;
+                if (held.keys.isEmpty()) kept = Math.min(1, kept + share);
+                credits = held.keys.isEmpty() ? kept : kept + share;
+            }
         }
 
         /** Equation 8 with a ceiling; the surplus of equation 9 goes back by lowest draw, then number. */
@@ -354,6 +366,7 @@
     final class Peers {
         final Peer[] all = new Peer[settings.balancers()];
         final Peer me;
+        private int told = Figures.BYTES;
 
         Peers() {
             for (int i = 0; i < all.length; i++) all[i] = new Peer();
@@ -381,6 +394,11 @@
                     || attempts.originOutstanding != f.outstanding() || ledger.period != f.period();
             long calm = attempts.jobs.isEmpty() ? PERIOD_MICROS / 2 : LOADS_MICROS;
             long gap = !changed ? PERIOD_MICROS : pressed ? ledger.subperiodMicros / 2 : calm;
+            // Danger: each hears all others, and what a few tell freely costs a hundred a tenth of the worth.
+            double cost = (all.length - 1) * settings.prices().peer() * told / FULL_MESSAGE_BYTES;
+            double seconds = 1.5 * COUNT_HALF_LIFE_MICROS / 1e6; // what the counts hold on average
+            double dear = 1e6 * cost * seconds / (TELLING_PART * Math.max(1, slots.counts.total()));
+            gap = Math.max(gap, (long) Math.min(PERIOD_MICROS, dear));
             if (me.heardMicros != NEVER && now < me.heardMicros + gap) return;
             me.heardMicros = now;
             me.said = new Figures(ledger.period, ledger.positionMillis(), ledger.fetched, held.queued(),
@@ -389,6 +407,7 @@
                     (int) budget.answers, budget.latencyMillis, (int) budget.failures);
             if (all.length == 1 || !settings.limits().mayTellPeers()) return;
             byte[] loads = Loads.of(slots.caches);
+            told = Figures.BYTES + loads.length;
             out.accept(new TellPeer(TellPeer.EVERYONE, me.said.encode(me.incarnation, ++me.sequence, loads)));
         }
 
@@ -500,7 +519,7 @@
             double largest = 0, taken = 0, load = 0;
             usable = 0;
             for (Cache c : caches) c.elsewhere = 0;
-            for (Peer p : peers.all) if (now < p.heardMicros + PERIOD_MICROS) Loads.add(p.loads, byTag);
+            for (Peer p : peers.all) if (now < p.heardMicros + 2 * PERIOD_MICROS) Loads.add(p.loads, byTag);
             for (Cache c : caches) {
                 if (c.origin) continue;
                 if (live) largestOfKind.merge(c.kind, c.size, Math::max);
--- a/balancer/src/test/java/merlinstep/RulesTest.java
+++ b/balancer/src/test/java/merlinstep/RulesTest.java
@@ -470,6 +470,60 @@
         assertEquals(before, owners(one, 600));
     }
 
+    /** Peers of a large fleet are heard, each with so many misses queued; one round takes the time given. */
+    private static void round(Timeline t, int balancers, int sequence, int queue, long micros) {
+        Figures f = new Figures(t.rules.ledger.period, t.rules.ledger.positionMillis(), 0, queue, 6.7f, 0, 5, 0,
+                100, 0, 0, 0);
+        for (int from = 1; from < balancers; from++) {
+            t.event(new PeerMessage(from, f.encode(from, sequence, Loads.NONE)));
+        }
+        t.pass(micros);
+    }
+
+    @Test
+    void whatComesByTurnsInALargeFleetIsKeptForTheNextMiss() {
+        Timeline t = Timeline.with(0, 100, 3); // X is 100: a credit a second for each
+        int fetched = 0;
+        for (int i = 0; i < 20; i++) {
+            for (int r = 0; r < 4; r++) round(t, 100, 5 * i + r + 1, 2, SECOND / 2);
+            assertTrue(t.rules.ledger.contended, "round " + i + " X " + t.rules.budget.effective() + " " + t.rules.peers.refresh());
+            t.end(onlySend(t.read("r" + i, 1000 + i)), Outcome.MISS);
+            round(t, 100, 5 * i + 5, 2, SECOND / 2);
+            List<Send> sends = sends(t.actions);
+            Send last = sends.get(sends.size() - 1);
+            if (last.server() == Timeline.ORIGIN && last.request().equals("r" + i)) {
+                fetched++;
+                t.end(last, Outcome.SERVED);
+            }
+        }
+        assertTrue(fetched >= 16, fetched + " of 20 misses bought their fetch in time");
+    }
+
+    @Test
+    void whatMessagesCostIsBoundedHoweverManyHearThem() {
+        int[] told = new int[2];
+        int[] fleets = {4, 100};
+        for (int i = 0; i < 2; i++) {
+            Decisions.Settings s = Timeline.settings(0, fleets[i], 6);
+            Decisions.Prices dear = new Decisions.Prices(0, 0, 0, 0, 0, 0, 0, 0, 0.01, 0, 0);
+            Timeline t = new Timeline(new Decisions.Settings(0, fleets[i], 1, s.zone(), s.zones(), s.kinds(), s.tiers(), 0,
+                    s.classes(), s.tenants(), s.membership(), s.origin(), s.limits(), s.rules(), dear, s.goal(), s.reports(),
+                    s.reportFields(), s.weights(), false, 0.1, false, 5_000), 5 * SECOND);
+            t.list(ListKind.LAST_KNOWN, Timeline.servers(3));
+            for (int r = 0; r < 200; r++) { // ten requests a second, a message after each change otherwise
+                Send send = onlySend(t.read("r" + r, r));
+                t.pass(50_000);
+                t.end(send, Outcome.MISS);
+                t.pass(50_000);
+                List<Send> fetch = sends(t.actions);
+                t.end(fetch.get(fetch.size() - 1), Outcome.SERVED);
+            }
+            told[i] = Timeline.of(t.actions, Decisions.TellPeer.class).size();
+        }
+        assertTrue(told[0] >= 80, "four balancers tell as before: " + told[0]);
+        assertTrue(told[1] >= 18 && told[1] <= 24, "a hundred: once a second, " + told[1]);
+    }
+
     @Test
     void whatOthersHaveOutCountsAgainstTheLimitOfACache() {
         Timeline t = Timeline.with(0, 2, 1);
