The store's allowance is learnt also where one balancer of many is out of credits

What binds a hundred balancers is that one of them runs out of its 3 or 4 credits a second while the tier is far from out of its 322. Change: a fresh balancer that tells a queue and no credit left also means that X binds; all hear the same and learn together. Test: RulesTest, a hundred balancers of which one is out of credits, X 100 to more than 300 in 6 s; without, it stays at 100. mvn verify passes.

--- a/balancer/src/main/java/merlinstep/Rules.java
+++ b/balancer/src/main/java/merlinstep/Rules.java
@@ -206,6 +206,7 @@
             double[] weights = new double[b];
             int[] draws = new int[b];
             int queued = held.queued(), spent = 0, outstanding = 0;
+            boolean dry = false, before = contended;
             for (int j = 0; j < b; j++) {
                 Figures f = peers.all[j].said;
                 if (!peers.all[j].fresh) continue; // its even share stays aside
@@ -214,6 +215,8 @@
                 queued += j == me ? 0 : f.queue();
                 spent += f.period() == period ? f.fetched() : 0;
                 outstanding += f.outstanding();
+                // Danger: of a hundred, one may be out of credits while the tier is far from out of them.
+                dry |= f.queue() > 0 && f.credits() == 0;
             }
             // Whole credits of fractional ones: an X under one credit a period still buys one now and then.
             long total = (long) Math.floor(x * (period + 1)) - (long) Math.floor(x * period);
@@ -221,9 +224,8 @@
             double window = WINDOW * x * Math.max(budget.leastLatencyMicros(), subperiodMicros) / 1e6;
             long d = Math.max(0, Math.min(total - spent, (long) Math.ceil(window) - outstanding));
             double pace = x / subperiods;
-            boolean before = contended;
             contended = queued > Math.max(Math.ceil(pace), b);
-            bound |= queued > 0 && (contended || d == 0);
+            bound |= queued > 0 && (contended || d == 0 || dry);
             boolean even = !contended && (subperiod == 0 || queued == 0);
             if (even) for (int j = 0; j < b; j++) weights[j] = peers.all[j].fresh ? 1 : 0;
             long step = (long) period * subperiods + subperiod;
@@ -232,16 +234,12 @@
             outstandingCap = (int) Math.max(2, Math.ceil(sum > 0 ? window * weights[me] / sum : window));
             // Dealt on what was told; what has gone out since is paid from it.
             Figures told = peers.me.said;
-            if (!contended) {
-                kept = 0;
-                credits = share - fetched + (told.period() == period ? told.fetched() : 0);
-            } else {
-                // Danger: of a hundred, most have no miss when their turn comes. Each keeps one credit for
-                // its next, so that the tier is over a period's allowance by one each at most.
-                kept = before ? Math.min(kept, Math.max(0, credits)) : 0;
-                if (held.keys.isEmpty()) kept = Math.min(1, kept + share);
-                credits = held.keys.isEmpty() ? kept : kept + share;
-            }
+            // Danger: of a hundred, most have no miss when their turn comes. Each keeps one credit for its
+            // next, so that the tier is over a period's allowance by one each at most.
+            kept = contended && before ? Math.min(kept, Math.max(0, credits)) : 0;
+            if (contended && held.keys.isEmpty()) kept = Math.min(1, kept + share);
+            if (!contended) credits = share - fetched + (told.period() == period ? told.fetched() : 0);
+            else credits = held.keys.isEmpty() ? kept : kept + share;
         }
 
         /** Equation 8 with a ceiling; the surplus of equation 9 goes back by lowest draw, then number. */
--- a/balancer/src/test/java/merlinstep/RulesTest.java
+++ b/balancer/src/test/java/merlinstep/RulesTest.java
@@ -499,6 +499,26 @@
         assertTrue(fetched >= 16, fetched + " of 20 misses bought their fetch in time");
     }
 
+    @Test
+    void oneBalancerOutOfCreditsTeachesAHundredTheirAllowance() {
+        for (int queue = 0; queue <= 3; queue += 3) {
+            Timeline t = Timeline.with(0, 100, 3);
+            double before = t.rules.budget.effective();
+            for (int i = 1; i <= 12; i++) {
+                for (int from = 1; from < 100; from++) {
+                    boolean busy = from == 7;
+                    Figures f = new Figures(t.rules.ledger.period, t.rules.ledger.positionMillis(), 0, busy ? queue : 0,
+                            busy ? 4 : 0, busy ? 0 : 1, 5, 0, 0, 2 * i, 100L * i, 0);
+                    t.event(new PeerMessage(from, f.encode(from, i, Loads.NONE)));
+                }
+                t.pass(SECOND / 2);
+            }
+            assertTrue(!t.rules.ledger.contended);
+            double now = t.rules.budget.effective();
+            assertTrue(queue == 0 ? now == before : now > 3 * before, queue + " queued, X " + before + " to " + now);
+        }
+    }
+
     @Test
     void whatMessagesCostIsBoundedHoweverManyHearThem() {
         int[] told = new int[2];
