Reads that can't be back in time are refused at once, and their time-outs blame no store

Cause: Attempts.ask sends whatever has any time left. Change: a first attempt of a read whose time is under the mean answer's is refused at once; a time-out counts against the store past a quick answer's time, against a cache's limit past half of the aim; who waits for another's fetch waits for one answer of the store and then asks the cache again. Tests: RulesTest, each fails without its change. mvn verify passes.

--- a/balancer/src/main/java/merlinstep/Loads.java
+++ b/balancer/src/main/java/merlinstep/Loads.java
@@ -12,8 +12,10 @@
  */
 final class Loads {
     static final byte[] NONE = {};
-    /** What a message of 256 bytes, the most there may be, has left beside the figures. */
-    private static final int MOST = (256 - Figures.BYTES) / 3;
+    /** Bytes of the longest message there may be; the price of messages is that of such a one for each request. */
+    static final int FULL_MESSAGE = 256;
+    /** What such a message has left beside the figures. */
+    private static final int MOST = (FULL_MESSAGE - Figures.BYTES) / 3;
 
     private Loads() { }
 
--- a/balancer/src/main/java/merlinstep/Rules.java
+++ b/balancer/src/main/java/merlinstep/Rules.java
@@ -46,7 +46,6 @@
     static final double FIRST_LIMIT = 16; // attempts out at a cache until its answers tell
     static final long LOADS_MICROS = 200_000; // between messages in service: an answer's time, as queues move
     static final double TELLING_PART = 0.01; // of the worth: what messages may cost; loads bring more
-    static final double FULL_MESSAGE_BYTES = 256; // the price of messages is that of such a one a request
     static final double SPILL = 1.25; // of the mean load: a cache with more gives some of its slots to others
     static final double SPILL_SLACK = 2; // attempts above that, as few are out in quiet times
     static final double LIMIT_CUT = 0.85; // of that limit after an answer slower than half its aim
@@ -215,7 +214,6 @@
                 queued += j == me ? 0 : f.queue();
                 spent += f.period() == period ? f.fetched() : 0;
                 outstanding += f.outstanding();
-                // Danger: of a hundred, one may be out of credits while the tier is far from out of them.
                 dry |= f.queue() > 0 && f.credits() == 0;
             }
             // Whole credits of fractional ones: an X under one credit a period still buys one now and then.
@@ -327,8 +325,9 @@
             if (outcome == Outcome.SERVED) {
                 answers++;
                 latencyMillis += latencyMicros / 1000;
-            } else if (outcome == Outcome.FULL || outcome == Outcome.TIMED_OUT) {
-                failures++; // no connection is the link's fault, and no sign of load
+            } else if (outcome == Outcome.FULL // no connection is the link's fault, and no sign of load
+                    || outcome == Outcome.TIMED_OUT && latencyMicros > QUICK_LATENCY * leastLatencyMicros()) {
+                failures++; // nor is a time-out where the client had too little time left for any answer
             }
         }
 
@@ -344,14 +343,13 @@
             }
             double delivered = (double) n * settings.balancers() / heard;
             double mean = n > 0 ? 1000.0 * millis / n : 0;
-            double least = leastLatencyMicros();
             if (!learnt) x = Math.max(x, effective());
             x = Math.min(x, effective() * GROWTH); // else a peer's low one goes untested
             boolean failing = bad >= 2 && bad > CONGESTED_FAILURES * (n + bad);
             if (failing && !cutLately) { // a cut shows a period later
                 x = Math.max(1, Math.min(x, Math.max(CUT * delivered, x / 2)));
                 log("origin overrun: allowance down to " + Math.round(x) + " fetches a second");
-            } else if (bound && n > 0 && !failing && mean < QUICK_LATENCY * least) {
+            } else if (bound && n > 0 && !failing && mean < QUICK_LATENCY * leastLatencyMicros()) {
                 x *= GROWTH;
             }
             cutLately = !cutLately && failing;
@@ -393,10 +391,9 @@
             long calm = attempts.jobs.isEmpty() ? PERIOD_MICROS / 2 : LOADS_MICROS;
             long gap = !changed ? PERIOD_MICROS : pressed ? ledger.subperiodMicros / 2 : calm;
             // Danger: each hears all others, and what a few tell freely costs a hundred a tenth of the worth.
-            double cost = (all.length - 1) * settings.prices().peer() * told / FULL_MESSAGE_BYTES;
-            double seconds = 1.5 * COUNT_HALF_LIFE_MICROS / 1e6; // what the counts hold on average
-            double dear = 1e6 * cost * seconds / (TELLING_PART * Math.max(1, slots.counts.total()));
-            gap = Math.max(gap, (long) Math.min(PERIOD_MICROS, dear));
+            double cost = (all.length - 1) * settings.prices().peer() * told / Loads.FULL_MESSAGE;
+            double requests = Math.max(1, slots.counts.total()) / (1.5 * COUNT_HALF_LIFE_MICROS); // a micro
+            gap = Math.max(gap, (long) Math.min(PERIOD_MICROS, cost / (TELLING_PART * requests)));
             if (me.heardMicros != NEVER && now < me.heardMicros + gap) return;
             me.heardMicros = now;
             me.said = new Figures(ledger.period, ledger.positionMillis(), ledger.fetched, held.queued(),
@@ -649,7 +646,7 @@
             boolean served = outcome == Outcome.SERVED;
             boolean failed = outcome == Outcome.ERROR; // a reset says more of the connection
             if (!c.origin && (failed || served || outcome == Outcome.MISS)) c.answered(failed);
-            boolean late = outcome == Outcome.TIMED_OUT || served && latencyMicros > aimMicros / 2;
+            boolean late = (served || outcome == Outcome.TIMED_OUT) && latencyMicros > aimMicros / 2;
             if ((late || outcome == Outcome.FULL) && now >= c.limitCutMicros) {
                 c.limitCutMicros = now + latencyMicros;
                 c.limit = Math.max(1, Math.min(c.limit, c.load() + 1) * LIMIT_CUT);
@@ -736,7 +733,7 @@
                 double b = settings.balancers();
                 double turn = Long.remainderUnsigned(Hash.mix(job.key) + settings.index(), (long) b) / b;
                 double wait = b == 1 ? 0 : (fetchedElsewhere ? 1 : 0) + (ledger.contended ? turn : 0);
-                w.readyMicros += (long) (wait * 2 * budget.leastLatencyMicros());
+                w.readyMicros += (long) (wait * budget.leastLatencyMicros());
             }
             if (w.leader == job) w.leader = null; // asked again in vain: now it is for a credit
             if (job.waiting == null) w.jobs.add(job);
@@ -781,7 +778,7 @@
                 if (best == null) return;
                 // The one with least time takes the answer of the fetch, the others ask the cache after it.
                 Job leader = best.mostUrgent();
-                boolean stale = now - best.sinceMicros > 2 * budget.leastLatencyMicros();
+                boolean stale = now - best.sinceMicros >= budget.leastLatencyMicros();
                 // Another balancer may have filled the cache meanwhile: asking again costs no credit.
                 boolean ask = stale && peers.all.length > 1 && !leader.askedAgain
                         && leader.attempts + 2 < maxAttempts && slots.usable(leader.missedAt);
@@ -881,6 +878,12 @@
             // A wait for a quarter of the time there is makes the next cache of the slot worth a fetch.
             boolean waited = now - job.arrivedMicros > (job.usefulUntilMicros - job.arrivedMicros) / 4;
             int spread = job.spread + (waited ? 1 : 0);
+            // Danger: what can't be back in time costs a cache the same work, and comes again with less.
+            long left = job.usefulUntilMicros - now;
+            if (left < slots.hitMicros && job.attempts == 0 && job.kind.effect() == Effect.SAFE) {
+                finish(job);
+                return;
+            }
             Cache c = slots.usable(job.home) ? job.home : slots.pick(job.key, spread, job.shunned);
             job.home = null;
             if (c == null) {
@@ -889,9 +892,8 @@
             } else {
                 boolean doubtful = slots.out(c) || c.unanswered >= SILENT_ATTEMPTS;
                 // Danger: less than an answer takes, and none that is back could ever show it.
-                double least = DOUBTFUL_LATENCIES * slots.hitMicros;
-                long third = (long) Math.max(least, (job.usefulUntilMicros - now) / 3.0);
-                send(job, c, doubtful ? Math.max(1, Math.min(third, job.usefulUntilMicros - now)) : 0);
+                long third = (long) Math.max(DOUBTFUL_LATENCIES * slots.hitMicros, left / 3.0);
+                send(job, c, doubtful ? Math.max(1, Math.min(third, left)) : 0);
             }
         }
 
@@ -927,7 +929,7 @@
         void ended(AttemptEnded e) {
             Job job = jobs.get(e.request());
             Cache at = job != null && job.at != null ? job.at : slots.byId.get(e.server());
-            if (at != null) slots.ended(at, e, job == null ? Long.MAX_VALUE : job.kind.aimMicros());
+            if (at != null) slots.ended(at, e, job == null ? shortestAimMicros : job.kind.aimMicros());
             if (at != null && at.origin) {
                 originOutstanding = Math.max(0, originOutstanding - 1);
                 budget.ended(e.outcome(), e.latencyMicros());
--- a/balancer/src/test/java/merlinstep/RulesTest.java
+++ b/balancer/src/test/java/merlinstep/RulesTest.java
@@ -488,8 +488,13 @@
             for (int r = 0; r < 4; r++) round(t, 100, 5 * i + r + 1, 2, SECOND / 2);
             assertTrue(t.rules.ledger.contended, "round " + i + " X " + t.rules.budget.effective() + " " + t.rules.peers.refresh());
             t.end(onlySend(t.read("r" + i, 1000 + i)), Outcome.MISS);
-            round(t, 100, 5 * i + 5, 2, SECOND / 2);
+            round(t, 100, 5 * i + 5, 2, 250_000);
             List<Send> sends = sends(t.actions);
+            if (sends.get(sends.size() - 1).server() != Timeline.ORIGIN) { // the cache is asked again first
+                t.end(sends.get(sends.size() - 1), Outcome.MISS);
+                t.pass(100_000);
+                sends = sends(t.actions);
+            }
             Send last = sends.get(sends.size() - 1);
             if (last.server() == Timeline.ORIGIN && last.request().equals("r" + i)) {
                 fetched++;
@@ -499,6 +504,36 @@
         assertTrue(fetched >= 16, fetched + " of 20 misses bought their fetch in time");
     }
 
+    @Test
+    void whatCannotBeBackInTimeIsRefusedAtOnceAndNeverSent() {
+        Timeline t = Timeline.with(0, 1, 3);
+        List<Decisions.Action> late = t.event(new Decisions.Request("late", "read", "t", true, 7, t.now + 100_000, 0, 0,
+                true, false)); // an answer is taken to need 200 ms till some have come
+        assertEquals(List.of(), sends(late));
+        assertEquals("late", Timeline.of(late, Decisions.Refuse.class).get(0).request());
+        Send send = onlySend(t.event(new Decisions.Request("soon", "read", "t", true, 7, t.now + 300_000, 0, 0, true, false)));
+        assertEquals("soon", send.request());
+        t.end(send, Outcome.MISS); // a write is worth its fetch however little time there is
+        assertEquals(1, sends(t.event(new Decisions.Request("w", "write", "t", true, 8, t.now + 100_000, 0, 0, false,
+                true))).size());
+    }
+
+    @Test
+    void aTimeOutOfAClientWithLittleTimeSaysNothingOfTheStore() {
+        double[] x = new double[2];
+        for (int way = 0; way < 2; way++) {
+            Timeline t = Timeline.with(0, 1, 3);
+            for (int i = 0; i < 40; i++) {
+                Send write = onlySend(t.request("w" + i, "write", i, true));
+                t.event(new Decisions.AttemptEnded("w" + i, 0, write.server(), Outcome.TIMED_OUT, way == 0 ? 60_000
+                        : 900_000, true, 0, new double[0]));
+                t.pass(100_000);
+            }
+            x[way] = t.rules.budget.effective();
+        }
+        assertTrue(x[0] == 100 && x[1] < 50, "X after short time-outs " + x[0] + ", after long ones " + x[1]);
+    }
+
     @Test
     void oneBalancerOutOfCreditsTeachesAHundredTheirAllowance() {
         for (int queue = 0; queue <= 3; queue += 3) {
