What reads need of time is learnt from time-outs too, so a storm of hasty tries ebbs

Change: what a read needs is learnt apart, from answers and from time-outs (as twice the time they had), a sixteenth each, so within a second or two; at most three quarters of the shortest aim, so that a whole aim always does and its answers bring it down. Test: RulesTest, time-outs close the way for reads with 400 ms left and answers open it again.

--- a/balancer/src/main/java/merlinstep/Rules.java
+++ b/balancer/src/main/java/merlinstep/Rules.java
@@ -55,14 +55,14 @@
     static final double DOUBTFUL = 0.25; // a failed request goes to another cache; below, its value is there
     static final int ANSWERS_SEEN = 8; // answers over which that part is taken: a second's at a small cache
     static final double DOUBTFUL_LATENCIES = 1.25; // mean latencies that a server in doubt is given at least
+    static final double MOST_NEED = 0.75; // of the shortest aim: more, and none could show that less will do
     static final double FALL_PART = 0.5; // of the multiple at which a cold cache falls, for all balancers
     static final long TRIAL_MICROS = 500_000; // between trials of a server out of use, doubling
     static final double TRIAL_CROWD = 8; // balancers whose trials a cold cache bears; more try less often
     static final long MAX_TRIAL_MICROS = 4_000_000; // as long as a restart is noticed late
     static final long LONGEST_WAIT_PART = 3; // part of the asking limit between list calls
 
-    private static final long NEVER = Long.MIN_VALUE;
-    private static final long TICK = 1;
+    private static final long NEVER = Long.MIN_VALUE, TICK = 1;
     private static final double GOLDEN = 0.6180339887498949;
 
     private final Settings settings;
@@ -147,8 +147,7 @@
     final class Ledger {
         final int subperiods;
         final long subperiodMicros;
-        int period;
-        int fetched;
+        int period, fetched;
         boolean contended;
         private long periodStartMicros;
         private int subperiod, credits, kept, outstandingCap;
@@ -437,9 +436,8 @@
         private final KeyCounts counts = new KeyCounts(COUNTERS);
         private final boolean live = settings.weights() == Weights.LIVE; // then sizes fall with load
         private double usable, meanLoad, mostTaken;
-        private double hitMicros = shortestAimMicros / 4.0;
-        private long halvedMicros = NEVER;
-        private long heardMicros = NEVER / 2;
+        private double hitMicros = shortestAimMicros / 4.0, needMicros = hitMicros;
+        private long halvedMicros = NEVER, heardMicros = NEVER / 2;
 
         Cache origin() { return origin; }
 
@@ -662,6 +660,8 @@
                 c.closedUntilMicros = now + (long) ((0.5 + random.nextDouble()) * c.gapMicros);
             }
             if (served) c.gapMicros /= 2;
+            double need = Math.min(MOST_NEED * shortestAimMicros, served ? latencyMicros : 2 * latencyMicros);
+            if (!c.origin && (served || outcome == Outcome.TIMED_OUT)) needMicros += (need - needMicros) / 16;
             if (silent) {
                 boolean unheard = now - c.area.heardMicros > settings.limits().connectTimeoutMicros();
                 unheard &= outcome == Outcome.NOT_CONNECTED;
@@ -880,7 +880,7 @@
             int spread = job.spread + (waited ? 1 : 0);
             // Danger: what can't be back in time costs a cache the same work, and comes again with less.
             long left = job.usefulUntilMicros - now;
-            if (left < slots.hitMicros && job.attempts == 0 && job.kind.effect() == Effect.SAFE) {
+            if (left < slots.needMicros && job.attempts == 0 && job.kind.effect() == Effect.SAFE) {
                 finish(job);
                 return;
             }
--- a/balancer/src/test/java/merlinstep/RulesTest.java
+++ b/balancer/src/test/java/merlinstep/RulesTest.java
@@ -518,6 +518,27 @@
                 true))).size());
     }
 
+    @Test
+    void timeOutsOfReadsWithLittleTimeKeepSuchReadsAwayAndAnswersLetThemInAgain() {
+        Timeline t = Timeline.with(0, 1, 3);
+        for (int i = 0; i < 400 && !sends(little(t, "a" + i)).isEmpty(); i++) {
+            Send send = sends(t.actions).get(sends(t.actions).size() - 1);
+            t.event(new Decisions.AttemptEnded("a" + i, 0, send.server(), Outcome.TIMED_OUT, 400_000, false, 0, new double[0]));
+            t.pass(200_000);
+        }
+        assertEquals(List.of(), sends(little(t, "b")));
+        t.pass(10 * SECOND);
+        for (int i = 0; i < 400 && sends(little(t, "c" + i)).isEmpty(); i++) { // a read with all its time goes on all the same
+            t.end(onlySend(t.read("d" + i, i)), Outcome.SERVED);
+            t.pass(100_000);
+        }
+        assertEquals(1, sends(little(t, "e")).size());
+    }
+
+    private static List<Decisions.Action> little(Timeline t, String id) {
+        return t.event(new Decisions.Request(id, "read", "t", true, 7, t.now + 400_000, 0, 0, true, false));
+    }
+
     @Test
     void aTimeOutOfAClientWithLittleTimeSaysNothingOfTheStore() {
         double[] x = new double[2];
