An attempt that waits for a connection is dropped when its client has left

Shown by a test on loopback: a router takes the call up after its client has closed, and the first command that it gets is that client's ("expected stays, was left"). Change: South.withdraw marks the attempt in the same event, takes it out of the queue and ends it as not sent; Lane.begin looks at the mark where it looks at drains. What has been written is left to end by itself.

--- a/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
+++ b/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
@@ -125,6 +125,9 @@
     public void gone(long ticket) {
         Open r = requests.get(Long.toString(ticket));
         if (r != null && !r.done) {
+            for (int attempt = 0; attempt < r.attempts; attempt++) {
+                south.withdraw(Long.toString(ticket), attempt);
+            }
             finish(r);
             deliver(new RequestGone(Long.toString(ticket)));
         }
--- a/balancer/src/main/java/baymoor/south/Relay.java
+++ b/balancer/src/main/java/baymoor/south/Relay.java
@@ -13,6 +13,8 @@
     Time.Timer timer;
     Lane lane;
     boolean over;
+    /** Nobody waits for its answer any more: it must not begin. */
+    boolean unwanted;
 
     /** @param parcel null for a probe */
     Relay(String request, int attempt, Host host, Parcel parcel, long startedMicros, long untilMicros) {
--- a/balancer/src/main/java/baymoor/south/South.java
+++ b/balancer/src/main/java/baymoor/south/South.java
@@ -111,6 +111,21 @@
         }
     }
 
+    /**
+     * Nobody waits for an attempt's answer any more. Danger: one that waits for a connection, or for one that is still
+     * coming up, would begin long after its client has left; what has begun is left to end by itself.
+     */
+    public void withdraw(String request, int attempt) {
+        Relay relay = relays.get(name(request, attempt));
+        if (relay == null) {
+            return;
+        }
+        relay.unwanted = true; // from this moment, whatever comes before its end is told
+        if (relay.host.waiting.remove(relay)) {
+            time.after(0, () -> end(relay, Reply.without(Outcome.NOT_SENT)));
+        }
+    }
+
     /** Closes what is idle at a host. */
     public void closeIdle(long id) {
         Host host = hosts.get(id);
@@ -163,9 +178,9 @@
         return host;
     }
 
-    /** Whether a relay may still begin at a host: not where it drains or is gone by now. */
+    /** Whether a relay may still begin at a host: not where that drains or is gone by now, nor for a client that is. */
     boolean mayStart(Relay relay) {
-        return runs(relay.host) && time.now() < relay.untilMicros;
+        return !relay.unwanted && runs(relay.host) && time.now() < relay.untilMicros;
     }
 
     /** Finds connections for what waits at a host: idle ones first, then new ones within the bound. */
--- a/balancer/src/test/java/baymoor/World.java
+++ b/balancer/src/test/java/baymoor/World.java
@@ -34,6 +34,7 @@
     private final BlockingQueue<Integer> watchedAt = new LinkedBlockingQueue<>();
     private final int port = freePort();
     private boolean pushed;
+    private String[] instead = {"", ""};
     private Process process;
     private BufferedReader errors;
     private Path file;
@@ -66,6 +67,45 @@
         }
     }
 
+    /** A router whose machine takes no connection up until {@link #answers} is counted down. */
+    final class Late {
+        final BlockingQueue<List<String>> got = new LinkedBlockingQueue<>();
+        final CountDownLatch answers = new CountDownLatch(1);
+
+        Late(String name, String answer) throws IOException {
+            ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+            open.add(server);
+            // So many fill its queue: further calls are passed over, and come again after a second.
+            for (int i = 0; i < 2; i++) {
+                open.add(new Socket(server.getInetAddress(), server.getLocalPort()));
+            }
+            endpoints.add(endpoint(name, server.getLocalPort(), "two-core", "in_service", 0));
+            daemon(() -> {
+                try {
+                    answers.await();
+                } catch (InterruptedException e) {
+                    return;
+                }
+                while (true) {
+                    Socket socket = server.accept();
+                    open.add(socket);
+                    daemon(() -> {
+                        InputStream in = new BufferedInputStream(socket.getInputStream());
+                        while (true) {
+                            got.add(command(in));
+                            socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                        }
+                    });
+                }
+            });
+        }
+
+        /** The first command that comes, or null. */
+        List<String> first() throws InterruptedException {
+            return got.poll(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     @FunctionalInterface
     private interface Talk {
         void with(Socket socket) throws IOException;
@@ -156,7 +196,14 @@
                 + "\"seed\":\"1f\",\"limits\":{\"sockets\":1024,\"memory_mb\":128},\"known\":{\"index\":0,\"endpoints\":["
                 + String.join(",", endpoints) + "]},\"settings\":" + Files.readString(
                         Path.of("balancer/src/test/resources/settings.json"))
-                        .replace("subscribe", pushed ? "automatic" : "subscribe") + "}";
+                        .replace("subscribe", pushed ? "automatic" : "subscribe")
+                        .replace(instead[0], instead[1]) + "}";
+    }
+
+    /** From now on the settings hold another text in the place of one of theirs. */
+    World settings(String was, String is) {
+        instead = new String[] {was, is};
+        return this;
     }
 
     /** From now on configurations say that lists are pushed: the discovery is the agent of this machine. */
@@ -225,6 +272,20 @@
         return line;
     }
 
+    /** Waits until the program's counters hold a line. */
+    void counted(String line) throws IOException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+        try (Client client = client()) {
+            String counters = client.ask("INFO");
+            while (!counters.contains(line + "\n")) {
+                if (System.nanoTime() > until) {
+                    throw new IOException("no " + line + " in " + counters);
+                }
+                counters = client.ask("INFO");
+            }
+        }
+    }
+
     Process process() {
         return process;
     }
--- a/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
+++ b/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
@@ -120,6 +120,20 @@
         assertEquals(2, counters.get(Count.ACTIONS_IGNORED));
     }
 
+    @Test
+    public void whatWaitsForAConnectionWhenItsClientLeavesDoesNotBegin() {
+        orders = (event, sink) -> {
+            if (event instanceof Request r) {
+                sink.accept(new Send(r.id(), 1, 0));
+            }
+        };
+        client.in(GET);
+        client.events.closed();
+        links.get(0).events.opened();
+        assertEquals("", links.get(0).takeOut());
+        assertEquals("[0 NOT_SENT done]", ends());
+    }
+
     @Test
     public void aFailureOfTheDecisionsIsAnsweredCountedAndOutlived() {
         orders = (event, sink) -> {
--- a/balancer/src/test/java/baymoor/south/SouthTest.java
+++ b/balancer/src/test/java/baymoor/south/SouthTest.java
@@ -84,6 +84,41 @@
         return all;
     }
 
+    @Test
+    public void whatNobodyWaitsForAnyMoreDoesNotBeginWhenItsConnectionComesUp() {
+        FakeLink link = send("r", ROUTER, null);
+        south.withdraw("r", 0);
+        assertEquals("its connection is not up, and may serve another", "", ends());
+        link.events.opened();
+        assertEquals("", link.takeOut());
+        assertEquals("r NOT_SENT", ends());
+        assertFalse(link.closed);
+        send("s", ROUTER, null);
+        assertTrue(link.takeOut().contains("$1\r\ns\r\n"));
+        south.withdraw("s", 0);
+        link.events.written();
+        link.in(HIT);
+        assertEquals("what has begun ends by itself", "s SERVED v", ends());
+    }
+
+    @Test
+    public void whatNobodyWaitsForAnyMoreLeavesTheQueueForAConnection() {
+        south = south(1);
+        FakeLink only = sendAndWrite("a", ROUTER);
+        send("b", ROUTER, null);
+        send("c", ORIGIN, null);
+        south.withdraw("b", 0);
+        south.withdraw("c", 0);
+        south.withdraw("unknown", 0);
+        assertEquals("b NOT_SENT; c NOT_SENT", ends());
+        only.takeOut();
+        only.in(HIT);
+        rest();
+        assertEquals("a SERVED v", ends());
+        assertEquals("", only.takeOut());
+        assertEquals(1, links.size());
+    }
+
     @Test
     public void whatARouterSaysAsATable() {
         String[][] cases = {
