--- a/balancer/src/main/java/baymoor/assembly/Assembly.java
+++ b/balancer/src/main/java/baymoor/assembly/Assembly.java
@@ -43,6 +43,11 @@
     /** Open requests that the memory bears beside their values, whatever the settings allow. */
     private static final int MOST_OPEN = 8192;
     private static final long LOOK_MICROS = 10_000;
+    /**
+     * For clients to take their last answer and end their side: a program that ends before resets connections on which
+     * something came in unread. Within what {@link #END_MICROS} leaves before SIGKILL.
+     */
+    private static final long PARTING_MICROS = 100_000;
 
     private final Settings settings;
     private final Time time;
@@ -157,16 +162,24 @@
         });
         time.after(mostDrainMicros(), () -> {
             north.failAll();
-            time.after(LOOK_MICROS, once);
+            time.after(PARTING_MICROS, once);
         });
     }
 
+    /** Ends once every answer and this side's end have left everywhere, and clients have had a moment to take them. */
     private void look(Runnable ended) {
         if (north.quiet()) {
-            // The last answer may still be on its way out.
-            time.after(LOOK_MICROS, ended);
+            parting(ended, time.now() + PARTING_MICROS);
         } else {
             time.after(LOOK_MICROS, () -> look(ended));
         }
     }
+
+    private void parting(Runnable ended, long untilMicros) {
+        if (north.empty() || time.now() >= untilMicros) {
+            ended.run();
+        } else {
+            time.after(LOOK_MICROS, () -> parting(ended, untilMicros));
+        }
+    }
 }
--- a/balancer/src/main/java/baymoor/link/LinkEvents.java
+++ b/balancer/src/main/java/baymoor/link/LinkEvents.java
@@ -12,6 +12,9 @@
     /** The last byte of one {@link Link#write} has been handed to the network. */
     void written();
 
+    /** This side's output has ended, as {@link Link#finish} had it; nothing more is received. */
+    default void finished() { }
+
     /** The connection is over, or never came up. Nothing follows. */
     void closed();
 }
--- a/balancer/src/main/java/baymoor/net/MinaNet.java
+++ b/balancer/src/main/java/baymoor/net/MinaNet.java
@@ -187,7 +187,9 @@
 
         @Override
         public void messageSent(IoSession session, Object message) {
-            link(session).tellWritten();
+            if (!HalfClose.isMark(message)) {
+                link(session).tellWritten();
+            }
         }
 
         @Override
--- a/balancer/src/main/java/baymoor/north/North.java
+++ b/balancer/src/main/java/baymoor/north/North.java
@@ -25,6 +25,8 @@
     private static final long RESTING_MICROS = 100_000;
     /** Connections past the bound that are told to come back; a crowd past these is closed unheard. */
     private static final int MOST_EXTRA = 16;
+    /** Connections that made room and whose clients take their time to end them. */
+    private static final int MOST_EVICTED = 16;
 
     final Time time;
     final Counters counters;
@@ -37,6 +39,8 @@
     private long valueBytes;
     private final Map<Long, Owed> owed = new HashMap<>();
     private final Set<RespClient> clients = new LinkedHashSet<>();
+    /** Those that were told to make room and whose end is not through. */
+    private final Set<RespClient> evicted = new LinkedHashSet<>();
     /** Connections without anything owed, in the order in which the last answer left. */
     private final Set<RespClient> resting = new LinkedHashSet<>();
     private long tickets;
@@ -65,7 +69,13 @@
     private void look() {
         time.after(LOOK_MICROS, this::look);
         boolean crowded = clients.size() > mostClients / 4;
-        List.copyOf(clients).forEach(c -> c.look(crowded));
+        everyone().forEach(c -> c.look(crowded));
+    }
+
+    private List<RespClient> everyone() {
+        List<RespClient> all = new ArrayList<>(clients);
+        all.addAll(evicted);
+        return all;
     }
 
     /** What is owed to one command of a client, in whose order the answers go out. */
@@ -124,7 +134,11 @@
     private void evict(RespClient client) {
         counters.add(Count.CLIENTS_EVICTED);
         clients.remove(client);
+        evicted.add(client);
         client.leave();
+        if (evicted.size() > MOST_EVICTED) {
+            evicted.stream().filter(RespClient::ended).findFirst().ifPresent(RespClient::cut);
+        }
     }
 
     /**
@@ -169,7 +183,7 @@
 
     /** Used again: it goes to the end of the row of those that may be closed. */
     void used(RespClient client) {
-        if (clients.remove(client)) {
+        if (clients.remove(client) || evicted.remove(client)) {
             clients.add(client);
         }
     }
@@ -213,6 +227,7 @@
     void gone(RespClient client, Iterable<Owed> left) {
         counters.add(Count.CLIENTS_CLOSED);
         clients.remove(client);
+        evicted.remove(client);
         resting.remove(client);
         List<Owed> open = new ArrayList<>();
         for (Owed o : left) {
@@ -245,15 +260,21 @@
         }
     }
 
-    /** Whether nothing is owed to anyone, every answer has left and no request has come in unread. */
+    /** Whether nothing is owed to anyone, and every answer and this side's end have left on each connection. */
     public boolean quiet() {
-        return owed.isEmpty() && clients.stream().allMatch(RespClient::settled);
+        return owed.isEmpty() && everyone().stream().allMatch(RespClient::ended);
+    }
+
+    /** Whether no connection is left. */
+    public boolean empty() {
+        return clients.isEmpty() && evicted.isEmpty();
     }
 
-    /** Fails all that is owed, since the program ends. */
+    /** Fails all that is owed and ends every connection, since the program ends. */
     public void failAll() {
         for (Long ticket : List.copyOf(owed.keySet())) {
             answer(ticket, new Answer.Failed());
         }
+        everyone().forEach(RespClient::endAnyway);
     }
 }
--- a/balancer/src/main/java/baymoor/north/RespClient.java
+++ b/balancer/src/main/java/baymoor/north/RespClient.java
@@ -43,7 +43,11 @@
     private final Deque<Owed> row = new ArrayDeque<>();
     private int unwritten;
     private boolean extra;
+    /** Nothing more is read: it said what can't be read, or this side's end has gone out. */
     private boolean stopped;
+    /** It is to end unless something comes in before that; and it has ended on this side. */
+    private boolean leaving;
+    private boolean finished;
     private boolean paused;
     private boolean spoken;
     /** When this connection last got on: came up, brought a whole command, sent an answer, or was ended. */
@@ -71,24 +75,24 @@
 
     /** Whether it has been served and wants nothing for so long. */
     boolean rests(long micros) {
-        return spoken && !stopped && quiet() && unwritten == 0 && north.time.now() - movedMicros > micros;
+        return spoken && !stopped && !leaving && quiet() && unwritten == 0 && north.time.now() - movedMicros > micros;
     }
 
     /** Whether nothing whole ever came, for longer than a client's first request is on its way. */
     boolean silent() {
-        return !spoken && !stopped && !link.unread() && north.time.now() - movedMicros > SILENT_MICROS;
+        return !spoken && !stopped && !leaving && !link.unread() && north.time.now() - movedMicros > SILENT_MICROS;
     }
 
     /** Whether its first request may still be on the way: no client opens a connection for nothing. */
     boolean awaited() {
-        return !spoken && !stopped && !silent();
+        return !spoken && !stopped && !leaving && !silent();
     }
 
     /** Closes the connection if it has waited too long for what does not come. */
     void look(boolean crowded) {
         long now = north.time.now();
-        boolean half = !stopped && !paused && !link.unread() && (!spoken || reader.pending());
-        if (stopped ? row.isEmpty() && now - movedMicros > PARTING_MICROS
+        boolean half = !stopped && !leaving && !paused && !link.unread() && (!spoken || reader.pending());
+        if (stopped || leaving ? row.isEmpty() && now - movedMicros > PARTING_MICROS
                 : unwritten > 0 && now - movedMicros > STUCK_MICROS) {
             north.counters.add(Count.CLIENTS_STUCK);
             link.close();
@@ -97,7 +101,7 @@
             end(RespWriter.error("ERR no whole command in time"));
         } else if (north.draining() && quiet() && silent()) {
             leave();
-        } else if (quiet() && !stopped && now - movedMicros > (crowded ? CROWDED_IDLE_MICROS : IDLE_MICROS)) {
+        } else if (quiet() && !stopped && !leaving && now - movedMicros > (crowded ? CROWDED_IDLE_MICROS : IDLE_MICROS)) {
             north.counters.add(Count.CLIENTS_IDLE);
             leave();
         }
@@ -107,9 +111,9 @@
         return row.isEmpty() && !reader.pending() && !link.unread();
     }
 
-    /** Whether every answer has left and no command is on its way in. */
-    boolean settled() {
-        return unwritten == 0 && (stopped || !link.unread() && !reader.pending() && !awaited());
+    /** Whether every answer has left, and then this side's end. */
+    boolean ended() {
+        return finished;
     }
 
     /** There are too many connections, all of them busy: the first request here is turned away, then it is closed. */
@@ -117,10 +121,26 @@
         extra = true;
     }
 
+    /** Ends this connection once all answers have left, unless a command comes in before that. */
     void leave() {
+        if (!leaving) {
+            leaving = true;
+            north.notAtRest(this);
+            movedMicros = north.time.now();
+            link.finish(stopped);
+        }
+    }
+
+    /** Ends it in any case: the program does. */
+    void endAnyway() {
         stop();
-        movedMicros = north.time.now();
-        link.closeWhenWritten();
+        leaving = false;
+        leave();
+    }
+
+    /** At once, where it has had its time to end. */
+    void cut() {
+        link.close();
     }
 
     /** Reads nothing more: seen was a client that sends 60 MB on, whatever it is told. */
@@ -143,11 +163,19 @@
         // A client speaks first.
     }
 
+    @Override
+    public void finished() {
+        finished = true;
+        stopped = true;
+    }
+
     @Override
     public void received(byte[] bytes) {
-        if (stopped) {
+        // Danger: what a client that has left sent before that would still be sent on, after a hold-up long after it left.
+        if (stopped || link.over()) {
             return;
         }
+        leaving = false; // this came in before the end could go out
         north.notAtRest(this);
         north.used(this);
         partMicros = reader.pending() ? partMicros : north.time.now();
@@ -226,11 +254,7 @@
             bad("id is in use");
             return;
         }
-        if (extra) {
-            end(RespWriter.error(busy(COME_BACK_MICROS)));
-            return;
-        }
-        if (north.full(request)) {
+        if (extra || north.full(request)) {
             atOnce(RespWriter.error(busy(COME_BACK_MICROS)));
             return;
         }
@@ -262,7 +286,7 @@
             movedMicros = unwritten++ == 0 && !stopped ? north.time.now() : movedMicros;
             link.write(row.pollFirst().answer);
         }
-        if (row.isEmpty() && (stopped || north.draining() && quiet())) {
+        if (row.isEmpty() && (stopped || (extra || north.draining()) && quiet())) {
             leave();
         } else {
             resume();
@@ -273,7 +297,7 @@
     public void written() {
         unwritten--;
         movedMicros = stopped ? movedMicros : north.time.now();
-        if (unwritten == 0 && row.isEmpty() && spoken && !stopped) {
+        if (unwritten == 0 && row.isEmpty() && spoken && !stopped && !leaving) {
             north.atRest(this);
         }
         resume();
--- a/balancer/src/main/java/baymoor/serve/Rehearsal.java
+++ b/balancer/src/main/java/baymoor/serve/Rehearsal.java
@@ -149,7 +149,7 @@
         }
 
         @Override
-        public void closeWhenWritten() {
+        public void finish(boolean inAnyCase) {
             close();
         }
 
@@ -158,6 +158,11 @@
             return false;
         }
 
+        @Override
+        public boolean over() {
+            return closed;
+        }
+
         @Override
         public void reading(boolean on) { }
     }
--- a/balancer/src/test/java/baymoor/CrossingsIT.java
+++ b/balancer/src/test/java/baymoor/CrossingsIT.java
@@ -1,8 +1,19 @@
 package baymoor;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
 
+import java.io.EOFException;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import org.junit.After;
 import org.junit.Test;
 
@@ -13,6 +24,7 @@
 public class CrossingsIT {
 
     private static final String VALUE = "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n";
+    private static final int CROWD = 24;
     private final World world = new World();
 
     @After
@@ -56,4 +68,49 @@
         }
         world.counted("relays_served:1");
     }
+
+    /** Danger: a request that is read in the moment in which its connection is closed, and neither answered nor left unread. */
+    @Test
+    public void requestsThatCrossTheEndAreAnsweredOrLeftToTheirClients() throws Exception {
+        World.Server router = world.router("s-a", 0, words -> VALUE);
+        world.start();
+        ExecutorService crowd = Executors.newFixedThreadPool(CROWD);
+        CountDownLatch asking = new CountDownLatch(CROWD);
+        List<Future<List<String>>> clients = new ArrayList<>();
+        for (int c = 0; c < CROWD; c++) {
+            int number = c;
+            clients.add(crowd.submit(() -> {
+                List<String> answered = new ArrayList<>();
+                try (World.Client client = world.client()) {
+                    for (int i = 0;; i++) {
+                        String id = number + "-" + i;
+                        client.send("OBJ.GET", "0a", id, "c=map-read,t=fraser-surveyors,d=1400");
+                        String answer = client.answer();
+                        if (answer.startsWith("-")) {
+                            continue; // refused, as too many came at once
+                        }
+                        assertEquals("v", answer);
+                        answered.add(id);
+                        if (i == 0) {
+                            asking.countDown();
+                        }
+                    }
+                } catch (EOFException e) {
+                    return answered; // between two answers; a reset is no such end
+                }
+            }));
+        }
+        assertTrue(asking.await(20, TimeUnit.SECONDS));
+        world.process().toHandle().destroy();
+        Set<String> answered = new HashSet<>();
+        for (Future<List<String>> client : clients) {
+            answered.addAll(client.get());
+        }
+        crowd.shutdown();
+        assertTrue(world.process().waitFor(20, TimeUnit.SECONDS));
+        Set<String> sent = new HashSet<>();
+        router.got.forEach(got -> sent.add(got.words().get(2)));
+        sent.removeAll(answered);
+        assertEquals("sent on and not answered", Set.of(), sent);
+    }
 }
--- a/balancer/src/test/java/baymoor/FakeLink.java
+++ b/balancer/src/test/java/baymoor/FakeLink.java
@@ -13,6 +13,7 @@
     public boolean leaves;
     public boolean reading = true;
     public boolean unread;
+    public boolean over;
 
     @Override
     public void write(byte[] bytes) {
@@ -28,8 +29,13 @@
     }
 
     @Override
-    public void closeWhenWritten() {
-        closed = true;
+    public void finish(boolean inAnyCase) {
+        if (inAnyCase || !unread) {
+            closed = true;
+            if (events != null) {
+                events.finished();
+            }
+        }
     }
 
     @Override
@@ -37,6 +43,11 @@
         return unread;
     }
 
+    @Override
+    public boolean over() {
+        return over;
+    }
+
     @Override
     public void reading(boolean on) {
         reading = on;
--- a/emulator/src/main/java/baymoor/emulator/fabric/Wire.java
+++ b/emulator/src/main/java/baymoor/emulator/fabric/Wire.java
@@ -101,9 +101,9 @@
     }
 
     @Override
-    public void closeWhenWritten() {
+    public void finish(boolean inAnyCase) {
         if (says()) {
-            link.closeWhenWritten();
+            link.finish(inAnyCase);
         } else {
             closeUnheard();
         }
@@ -120,6 +120,11 @@
         return link.unread();
     }
 
+    @Override
+    public boolean over() {
+        return link.over();
+    }
+
     @Override
     public void reading(boolean on) {
         link.reading(on);
@@ -151,6 +156,13 @@
         }
     }
 
+    @Override
+    public void finished() {
+        if (!told) {
+            host.finished();
+        }
+    }
+
     @Override
     public void closed() {
         ended = true;
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualNet.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualNet.java
@@ -477,10 +477,23 @@
         }
 
         @Override
-        public void closeWhenWritten() {
+        public void finish(boolean inAnyCase) {
+            if (closing || over || !inAnyCase && untold > 0) {
+                return; // what has come in is told, and its state machine thinks again
+            }
+            site.post(() -> {
+                if (!over && events != null) {
+                    events.finished();
+                }
+            });
             close(); // what was written has left
         }
 
+        @Override
+        public boolean over() {
+            return over || ended;
+        }
+
         @Override
         public boolean unread() {
             return untold > 0;
--- a/emulator/src/main/java/baymoor/emulator/world/Agent.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Agent.java
@@ -127,7 +127,7 @@
                 }
             } catch (HttpException e) {
                 over = true;
-                link.closeWhenWritten();
+                link.finish(true);
             }
         }
 
--- a/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
+++ b/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
@@ -261,7 +261,7 @@
             if (!over) {
                 over = true;
                 link.write(HttpRequests.response(status, reason, "Connection: close\r\n", NONE));
-                link.closeWhenWritten();
+                link.finish(true);
                 connections.remove(this);
             }
         }
--- a/emulator/src/main/java/baymoor/emulator/world/Origin.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Origin.java
@@ -153,7 +153,7 @@
             } catch (HttpException e) {
                 answer(400, "Bad Request", "Connection: close\r\n", NONE);
                 over = true;
-                link.closeWhenWritten();
+                link.finish(true);
             }
         }
 
--- a/emulator/src/test/java/baymoor/emulator/HeldLink.java
+++ b/emulator/src/test/java/baymoor/emulator/HeldLink.java
@@ -19,7 +19,7 @@
     }
 
     @Override
-    public void closeWhenWritten() {
+    public void finish(boolean inAnyCase) {
         closed = true;
     }
 
@@ -28,6 +28,11 @@
         return false;
     }
 
+    @Override
+    public boolean over() {
+        return closed;
+    }
+
     @Override
     public void reading(boolean on) { }
 }
--- a/emulator/src/test/java/baymoor/emulator/virtual/Through.java
+++ b/emulator/src/test/java/baymoor/emulator/virtual/Through.java
@@ -21,8 +21,8 @@
     }
 
     @Override
-    public void closeWhenWritten() {
-        real.closeWhenWritten();
+    public void finish(boolean inAnyCase) {
+        real.finish(inAnyCase);
     }
 
     @Override
@@ -30,6 +30,11 @@
         return real.unread();
     }
 
+    @Override
+    public boolean over() {
+        return real.over();
+    }
+
     @Override
     public void reading(boolean on) {
         real.reading(on);
