What may begin is asked as the bytes leave: client there, repeat harmless, connection untouched

Three crossings found by reading, each shown by a test that fails without its fix (mutants run one by one): - An attempt ordered while its client's end waited in the decision thread's queue began all the same; under a hold-up that is over 0.1 s after the client left. North.waits asks the connection itself (Link.over). - A repeat of a keyed request was judged when it was ordered; waiting for a connection (up to the connect time-out, 75 ms of a window of 200 ms at qld-zones) it began when routers drop no copies any more. Dispatcher.mayBegin keeps the window, counted from the order of the first attempt that may have run, until the bytes leave. - An idle connection to a router was taken though the driver had read something on it, or its end, that was not told yet: a late second copy of the last answer would have been the next one's. Host.takeIdle closes such a one and takes another.

--- a/balancer/src/main/java/baymoor/assembly/Assembly.java
+++ b/balancer/src/main/java/baymoor/assembly/Assembly.java
@@ -65,7 +65,8 @@
         log = around.log();
         counters = around.counters();
         Decisions.Settings module = settings.module();
-        dispatcher = new Dispatcher(Decisions.start(module), module.limits(), time, counters, log);
+        dispatcher = new Dispatcher(Decisions.start(module), module.limits(), module.classes(), time,
+                counters, log);
         inventory = new Inventory(around.unixMillisToMicros(), counters);
         int half = (settings.sockets() - OTHER_DESCRIPTORS) / 2;
         north = new North(time, counters, module.classes().stream().map(Decisions.RequestClass::name)
--- a/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
+++ b/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
@@ -15,6 +15,7 @@
 import baymoor.south.South;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -33,6 +34,7 @@
 import merlinstep.Decisions.Probed;
 import merlinstep.Decisions.Refuse;
 import merlinstep.Decisions.Request;
+import merlinstep.Decisions.RequestClass;
 import merlinstep.Decisions.RequestGone;
 import merlinstep.Decisions.Send;
 import merlinstep.Decisions.ServerList;
@@ -54,6 +56,8 @@
         int attempts;
         int out;
         boolean done;
+        /** When the first attempt that may have run was ordered. */
+        long ranMicros = Long.MAX_VALUE;
 
         Open(long ticket, Taken taken) {
             this.ticket = ticket;
@@ -63,6 +67,7 @@
 
     private final Decisions decisions;
     private final Decisions.Limits limits;
+    private final Map<String, RequestClass> classes = new HashMap<>();
     private final Time time;
     private final Counters counters;
     private final Consumer<String> log;
@@ -74,10 +79,11 @@
     private Discovery discovery;
     private Peers peers;
 
-    public Dispatcher(Decisions decisions, Decisions.Limits limits, Time time, Counters counters,
-            Consumer<String> log) {
+    public Dispatcher(Decisions decisions, Decisions.Limits limits, List<RequestClass> kinds, Time time,
+            Counters counters, Consumer<String> log) {
         this.decisions = decisions;
         this.limits = limits;
+        kinds.forEach(kind -> classes.put(kind.name(), kind));
         this.time = time;
         this.counters = counters;
         this.log = log;
@@ -148,6 +154,9 @@
             return;
         }
         r.out--;
+        if (!reply.outcome().provesNothingRan()) {
+            r.ranMicros = Math.min(r.ranMicros, time.now() - latencyMicros);
+        }
         if (!r.done && reply.outcome() == Outcome.SERVED) {
             north.answer(r.ticket, new Answer.Served(reply.value()));
             r.done = true;
@@ -257,7 +266,23 @@
         long most = r.taken.deadlineMicros() - now;
         long wait = a.timeoutMicros() == 0 ? most : Math.max(0, Math.min(most, a.timeoutMicros()));
         Taken t = r.taken;
-        south.send(a.request(), attempt, a.server(), new Parcel(t.key(), t.id(), t.facts(), t.value()), now + wait);
+        south.send(a.request(), attempt, a.server(), new Parcel(t.key(), t.id(), t.facts(), t.value()), now + wait,
+                () -> mayBegin(r));
+    }
+
+    /**
+     * Whether an attempt may still begin, asked as its bytes are about to leave. Danger: between the order and that moment,
+     * while it waits for a connection, its client may leave, or the time end for which a repeat does no harm.
+     */
+    private boolean mayBegin(Open r) {
+        RequestClass kind = classes.get(r.taken.requestClass());
+        boolean ran = r.ranMicros != Long.MAX_VALUE;
+        boolean harmless = !ran || kind != null && switch (kind.effect()) {
+            case SAFE -> true;
+            case KEYED -> time.now() < r.ranMicros + kind.windowMicros();
+            case UNSAFE -> false;
+        };
+        return harmless && !r.done && north.waits(r.ticket);
     }
 
     private void end(String id, Answer answer) {
--- a/balancer/src/main/java/baymoor/north/North.java
+++ b/balancer/src/main/java/baymoor/north/North.java
@@ -210,6 +210,12 @@
         }
     }
 
+    /** Whether an answer is owed to a client that is still there, as far as its connection knows. */
+    public boolean waits(long ticket) {
+        Owed o = owed.get(ticket);
+        return o != null && o.client.there();
+    }
+
     /** Gives the final answer; false if none is owed any more. */
     public boolean answer(long ticket, Answer answer) {
         Owed o = owed.remove(ticket);
--- a/balancer/src/main/java/baymoor/north/RespClient.java
+++ b/balancer/src/main/java/baymoor/north/RespClient.java
@@ -68,6 +68,10 @@
         return spoken;
     }
 
+    boolean there() {
+        return !link.over();
+    }
+
     /** Since when nothing has moved here. */
     long movedMicros() {
         return movedMicros;
--- a/balancer/src/main/java/baymoor/serve/Rehearsal.java
+++ b/balancer/src/main/java/baymoor/serve/Rehearsal.java
@@ -51,7 +51,8 @@
         played = new CountDownLatch(requests);
         Counters counters = new Counters();
         Inventory inventory = new Inventory(millis -> millis, counters);
-        Dispatcher dispatcher = new Dispatcher(Decisions.start(module), module.limits(), thread, counters, line -> { });
+        Dispatcher dispatcher = new Dispatcher(Decisions.start(module), module.limits(), module.classes(), thread,
+                counters, line -> { });
         north = new North(thread, counters, module.classes().stream().map(Decisions.RequestClass::name)
                 .collect(Collectors.toSet()), dispatcher, CLIENTS, CLIENTS, MOST_VALUE_BYTES, counters::report);
         int kind = module.origin().kind();
--- a/balancer/src/main/java/baymoor/south/Host.java
+++ b/balancer/src/main/java/baymoor/south/Host.java
@@ -30,6 +30,10 @@
     /** The idle connection used last, or null. */
     Lane takeIdle() {
         Lane lane = idle.pollLast();
+        while (lane != null && !lane.clean()) {
+            lane.close();
+            lane = idle.pollLast();
+        }
         rested();
         return lane;
     }
--- a/balancer/src/main/java/baymoor/south/Lane.java
+++ b/balancer/src/main/java/baymoor/south/Lane.java
@@ -45,6 +45,14 @@
         link = south.dialer.dial(host.address, this);
     }
 
+    /**
+     * Whether nothing has come in since the last answer, nor the other side's end. Danger: neither may have been told yet,
+     * and a second copy of that answer would be taken for the next one's.
+     */
+    boolean clean() {
+        return !link.unread() && !link.over();
+    }
+
     /** Puts a relay on this idle connection. */
     void carry(Relay next) {
         Invariant.check(up && relay == null && !closing, "a lane carries one relay at a time");
@@ -114,7 +122,7 @@
         }
         Relay answered = relay;
         relay = null;
-        if (reply.reusable() && written && !link.unread()) {
+        if (reply.reusable() && written && clean()) {
             south.time.after(REST_MICROS, this::rested);
         } else {
             close();
@@ -123,10 +131,10 @@
     }
 
     private void rested() {
-        if (!closing && link.unread()) {
-            close();
-        } else if (!closing) {
+        if (!closing && clean()) {
             host.free(this);
+        } else {
+            close();
         }
     }
 
--- a/balancer/src/main/java/baymoor/south/Relay.java
+++ b/balancer/src/main/java/baymoor/south/Relay.java
@@ -1,6 +1,7 @@
 package baymoor.south;
 
 import baymoor.link.Time;
+import java.util.function.BooleanSupplier;
 
 /** One attempt of a request at one host. */
 final class Relay {
@@ -10,14 +11,18 @@
     final Parcel parcel;
     final long startedMicros;
     final long untilMicros;
+    private final BooleanSupplier wanted;
     Time.Timer timer;
     Lane lane;
     boolean over;
-    /** Nobody waits for its answer any more: it must not begin. */
-    boolean unwanted;
 
-    /** @param parcel null for a probe */
-    Relay(String request, int attempt, Host host, Parcel parcel, long startedMicros, long untilMicros) {
+    /**
+     * @param parcel null for a probe
+     * @param wanted whether it may still begin, as far as the request goes
+     */
+    Relay(String request, int attempt, Host host, Parcel parcel, long startedMicros, long untilMicros,
+            BooleanSupplier wanted) {
+        this.wanted = wanted;
         this.request = request;
         this.attempt = attempt;
         this.host = host;
@@ -26,6 +31,10 @@
         this.untilMicros = untilMicros;
     }
 
+    boolean wanted() {
+        return wanted.getAsBoolean();
+    }
+
     boolean probe() {
         return parcel == null;
     }
--- a/balancer/src/main/java/baymoor/south/South.java
+++ b/balancer/src/main/java/baymoor/south/South.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongFunction;
 import merlinstep.Decisions.Limits;
 import merlinstep.Decisions.Outcome;
@@ -78,10 +79,14 @@
         time.after(SWEEP_MICROS, this::sweep);
     }
 
-    /** Starts an attempt; its end follows as an event, also where it can't even be sent. */
-    public void send(String request, int attempt, long id, Parcel parcel, long untilMicros) {
+    /**
+     * Starts an attempt; its end follows as an event, also where it can't even be sent.
+     *
+     * @param wanted asked as its bytes are about to leave, which may be long after this: whether it may still begin
+     */
+    public void send(String request, int attempt, long id, Parcel parcel, long untilMicros, BooleanSupplier wanted) {
         counters.add(Count.RELAYS);
-        Relay relay = new Relay(request, attempt, host(id), parcel, time.now(), untilMicros);
+        Relay relay = new Relay(request, attempt, host(id), parcel, time.now(), untilMicros, wanted);
         relays.put(name(request, attempt), relay);
         start(relay);
     }
@@ -89,7 +94,8 @@
     /** Asks a host for its load report. */
     public void probe(long id) {
         counters.add(Count.PROBES);
-        start(new Relay(null, 0, host(id), null, time.now(), time.now() + PROBE_MICROS));
+        start(new Relay(null, 0, host(id), null, time.now(), time.now() + PROBE_MICROS,
+                () -> true));
     }
 
     private void start(Relay relay) {
@@ -111,17 +117,10 @@
         }
     }
 
-    /**
-     * Nobody waits for an attempt's answer any more. Danger: one that waits for a connection, or for one that is still
-     * coming up, would begin long after its client has left; what has begun is left to end by itself.
-     */
+    /** An attempt is not wanted any more: it leaves the queue for a connection; what has begun ends by itself. */
     public void withdraw(String request, int attempt) {
         Relay relay = relays.get(name(request, attempt));
-        if (relay == null) {
-            return;
-        }
-        relay.unwanted = true; // from this moment, whatever comes before its end is told
-        if (relay.host.waiting.remove(relay)) {
+        if (relay != null && relay.host.waiting.remove(relay)) {
             time.after(0, () -> end(relay, Reply.without(Outcome.NOT_SENT)));
         }
     }
@@ -180,7 +179,7 @@
 
     /** Whether a relay may still begin at a host: not where that drains or is gone by now, nor for a client that is. */
     boolean mayStart(Relay relay) {
-        return !relay.unwanted && runs(relay.host) && time.now() < relay.untilMicros;
+        return relay.wanted() && runs(relay.host) && time.now() < relay.untilMicros;
     }
 
     /** Finds connections for what waits at a host: idle ones first, then new ones within the bound. */
--- a/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
+++ b/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
@@ -17,11 +17,14 @@
 import java.util.Set;
 import merlinstep.Decisions;
 import merlinstep.Decisions.AttemptEnded;
+import merlinstep.Decisions.Effect;
 import merlinstep.Decisions.Event;
 import merlinstep.Decisions.Fail;
+import merlinstep.Decisions.Group;
 import merlinstep.Decisions.Limits;
 import merlinstep.Decisions.Refuse;
 import merlinstep.Decisions.Request;
+import merlinstep.Decisions.RequestClass;
 import merlinstep.Decisions.Send;
 import merlinstep.Decisions.SetTimer;
 import merlinstep.Decisions.Sink;
@@ -40,6 +43,7 @@
     private final List<FakeLink> links = new ArrayList<>();
     private final FakeLink client = new FakeLink();
     private final Dispatcher dispatcher;
+    private final North clients;
 
     /** What the decisions would order on hearing an event. */
     private interface Orders {
@@ -54,8 +58,9 @@
             heard.add(event);
             orders.on(event, sink);
         };
-        dispatcher = new Dispatcher(decisions, limits, time, counters, line -> { });
-        North north = new North(time, counters, Set.of("read"), dispatcher, 9, 9, 1 << 20, () -> "");
+        dispatcher = new Dispatcher(decisions, limits, List.of(kind("read", Effect.SAFE, 0), kind("keyed", Effect.KEYED, 200_000),
+                kind("once", Effect.UNSAFE, 0)), time, counters, line -> { });
+        clients = new North(time, counters, Set.of("read", "keyed", "once"), dispatcher, 9, 9, 1 << 20, () -> "");
         South south = new South((to, events) -> {
             FakeLink link = new FakeLink();
             link.events = events;
@@ -64,9 +69,13 @@
         }, time, counters, id -> id > 2 ? null
                 : new Inventory.Entry(id, new InetSocketAddress("127.0.0.1", 1), "t", State.RUNNING), "origin",
                 List.of(), limits, 9, dispatcher);
-        dispatcher.connect(north, south, null, new Peers(List.of(), null, null, (to, bytes) -> { }, counters,
+        dispatcher.connect(clients, south, null, new Peers(List.of(), null, null, (to, bytes) -> { }, counters,
                 dispatcher::heard));
-        client.events = north.client(client);
+        client.events = clients.client(client);
+    }
+
+    private static RequestClass kind(String name, Effect effect, long windowMicros) {
+        return new RequestClass(name, 500_000, 0, 900_000, effect, Group.ALL, windowMicros, 1, 0, false);
     }
 
     private String ends() {
@@ -134,6 +143,52 @@
         assertEquals("[0 NOT_SENT done]", ends());
     }
 
+    @Test
+    public void whatIsOrderedForAClientThatHasLeftDoesNotBeginThoughItsEndIsNotToldYet() {
+        orders = (event, sink) -> {
+            if (event instanceof Request r) {
+                client.over = true;
+                sink.accept(new Send(r.id(), 1, 0));
+            }
+        };
+        client.in(GET);
+        links.get(0).events.opened();
+        assertEquals("", links.get(0).takeOut());
+        assertEquals("[0 NOT_SENT]", ends());
+        client.in(GET.replace("i\r", "j\r"));
+        assertEquals("what it sent before is not taken up", 1, heard.stream().filter(e -> e instanceof Request).count());
+    }
+
+    /** Danger: the repeat waits for a connection, and begins when the servers drop no second copy any more. */
+    @Test
+    public void aRepeatBeginsOnlyWhileItDoesNoHarm() {
+        orders = (event, sink) -> {
+            if (event instanceof Request r) {
+                sink.accept(new Send(r.id(), 1, 0));
+            } else if (event instanceof AttemptEnded e && !e.done() && e.attempt() == 0) {
+                sink.accept(new Send(e.request(), 2, 0));
+            }
+        };
+        String[][] cases = {
+            {"read", "250000", "begun"}, {"keyed", "150000", "begun"}, {"keyed", "250000", ""}, {"once", "0", ""}};
+        for (String[] c : cases) {
+            int at = links.size();
+            client.in(GET.replace("12\r\nc=read", c[0].length() + 8 + "\r\nc=" + c[0]));
+            links.get(at).events.opened();
+            links.get(at).events.written();
+            links.get(at).events.closed();
+            time.pass(Long.parseLong(c[1]) - 1);
+            FakeLink second = links.get(at + 1);
+            second.events.opened();
+            assertEquals(c[0] + " after " + c[1], !c[2].isEmpty(), !second.takeOut().isEmpty());
+            second.events.written();
+            second.events.closed();
+            client.events.closed();
+            client.events = clients.client(client);
+            time.pass(0);
+        }
+    }
+
     @Test
     public void aFailureOfTheDecisionsIsAnsweredCountedAndOutlived() {
         orders = (event, sink) -> {
--- a/balancer/src/test/java/baymoor/south/SouthTest.java
+++ b/balancer/src/test/java/baymoor/south/SouthTest.java
@@ -12,8 +12,10 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import merlinstep.Decisions.Limits;
 import merlinstep.Decisions.State;
 import org.junit.Test;
@@ -29,6 +31,7 @@
     private final List<FakeLink> links = new ArrayList<>();
     private final List<String> ended = new ArrayList<>();
     private final Map<Long, Inventory.Entry> inventory = new HashMap<>();
+    private final Set<String> unwanted = new HashSet<>();
     private South south = south(10);
 
     private South south(int mostLanes) {
@@ -61,7 +64,8 @@
 
     private FakeLink send(String request, long host, byte[] value) {
         int before = links.size();
-        south.send(request, 0, host, new Parcel("k", request, Map.of("d", "9"), value), time.now() + 800_000);
+        south.send(request, 0, host, new Parcel("k", request, Map.of("d", "9"), value), time.now() + 800_000,
+                () -> !unwanted.contains(request));
         return links.size() > before ? links.get(before) : null;
     }
 
@@ -87,6 +91,7 @@
     @Test
     public void whatNobodyWaitsForAnyMoreDoesNotBeginWhenItsConnectionComesUp() {
         FakeLink link = send("r", ROUTER, null);
+        unwanted.add("r");
         south.withdraw("r", 0);
         assertEquals("its connection is not up, and may serve another", "", ends());
         link.events.opened();
@@ -101,6 +106,29 @@
         assertEquals("what has begun ends by itself", "s SERVED v", ends());
     }
 
+    /** Danger: what the driver has read already, and the decisions not heard of, would be the next relay's answer. */
+    @Test
+    public void anIdleConnectionOnWhichSomethingCameOrThatIsOverIsNotTaken() {
+        for (int i = 0; i < 2; i++) {
+            FakeLink idle = sendAndWrite("a" + i, ROUTER);
+            idle.in(HIT);
+            rest();
+            ends();
+            idle.takeOut();
+            idle.unread = i == 0;
+            idle.over = i == 1;
+            FakeLink second = sendAndWrite("b" + i, ROUTER);
+            assertEquals("", idle.takeOut());
+            assertTrue(idle.closed);
+            idle.events.closed();
+            second.in(HIT.replace("v", "w"));
+            assertEquals("b" + i + " SERVED w", ends());
+            second.unread = true; // so that each round begins with a connection of its own
+            rest();
+            second.events.closed();
+        }
+    }
+
     @Test
     public void whatNobodyWaitsForAnyMoreLeavesTheQueueForAConnection() {
         south = south(1);
