A client that sends much at once is turned away past 128 commands, read on, and seen to leave

Seen by reading and by a test on loopback: past 128 commands owed on a connection its reading was suspended, so that neither its end nor a reset was noticed; a client that sent 3,000 at once and left kept its 128 requests going for their whole time, after which the next ones were taken (the old program never counts requests_gone:128 in the test's 20 s). Change: commands past 128 owed are answered -BUSY in their order without being looked at; a row of such refusals is one entry with a number, and is written 1,024 at a time while no more than 128 writes wait. Reading stops only for answers that do not leave, where the client's end shows as a failed write.

--- a/balancer/src/main/java/baymoor/north/North.java
+++ b/balancer/src/main/java/baymoor/north/North.java
@@ -85,6 +85,8 @@
         final int bytes;
         Time.Timer overdue;
         byte[] answer;
+        /** How many commands in a row it answers. */
+        int times = 1;
 
         Owed(RespClient client, long ticket, int bytes) {
             this.client = client;
--- a/balancer/src/main/java/baymoor/north/RespClient.java
+++ b/balancer/src/main/java/baymoor/north/RespClient.java
@@ -30,12 +30,16 @@
     /** Who takes nothing of its answers for so long, or does not end a connection that is over, is cut off. */
     private static final long STUCK_MICROS = 5_000_000;
     private static final long PARTING_MICROS = 1_000_000;
+    /** Past so many answers that are owed here, commands are turned away unread, with the first of that row of refusals. */
     private static final int MOST_OWED = 128;
     private static final int MOST_UNWRITTEN = 16;
+    /** Refusals written at once. */
+    private static final int MOST_TOGETHER = 1024;
     private static final long COME_BACK_MICROS = 1_000_000;
     private static final int GET_WORDS = 4;
     private static final int SET_WORDS = 5;
     private static final int LONGEST_NAME = 32;
+    private static final byte[] TURNED_AWAY = RespWriter.error(busy(COME_BACK_MICROS));
 
     private final North north;
     private final Link link;
@@ -198,6 +202,11 @@
                 spoken = true;
                 movedMicros = north.time.now();
                 partMicros = movedMicros;
+                if (row.size() >= MOST_OWED) {
+                    north.counters.add(Count.TURNED_AWAY);
+                    turnAway();
+                    continue;
+                }
                 take(((Resp.Many) command).items().stream().map(word -> ((Resp.Bulk) word).bytes()).toList());
             }
         } catch (RespException e) {
@@ -210,9 +219,13 @@
         }
     }
 
-    /** Guards against a client that sends on and on but reads nothing: its answers would fill the memory. */
+    /**
+     * Guards against a client that sends on and on but reads nothing: its answers would fill the memory. Danger: while
+     * nothing is read its end isn't seen either, and what it wants is sent on though it has left. So this turns on answers
+     * that do not leave, as theirs is an end that is seen, and not on the number of commands that wait.
+     */
     private boolean full() {
-        return row.size() >= MOST_OWED || unwritten >= MOST_UNWRITTEN;
+        return unwritten >= MOST_UNWRITTEN;
     }
 
     private void take(List<byte[]> words) {
@@ -259,7 +272,7 @@
             return;
         }
         if (extra || north.full(request)) {
-            atOnce(RespWriter.error(busy(COME_BACK_MICROS)));
+            turnAway();
             return;
         }
         Owed owed = north.take(this, request);
@@ -267,6 +280,16 @@
         north.hand(owed, request);
     }
 
+    /** One more refusal; a row of them at the end is kept as one with its number, as a client may send on without end. */
+    private void turnAway() {
+        Owed last = row.peekLast();
+        if (last != null && last.answer == TURNED_AWAY) {
+            last.times++;
+        } else {
+            atOnce(TURNED_AWAY);
+        }
+    }
+
     private void atOnce(byte[] answer) {
         Owed owed = new Owed(this, 0, 0);
         owed.answer = answer;
@@ -286,9 +309,15 @@
     }
 
     private void flush() {
-        while (!row.isEmpty() && row.peekFirst().answer != null) {
+        while (!row.isEmpty() && row.peekFirst().answer != null && unwritten < MOST_OWED) {
             movedMicros = unwritten++ == 0 && !stopped ? north.time.now() : movedMicros;
-            link.write(row.pollFirst().answer);
+            Owed first = row.peekFirst();
+            int together = Math.min(first.times, MOST_TOGETHER);
+            first.times -= together;
+            if (first.times == 0) {
+                row.removeFirst();
+            }
+            link.write(together == 1 ? first.answer : RespWriter.times(first.answer, together));
         }
         if (row.isEmpty() && (stopped || (extra || north.draining()) && quiet())) {
             leave();
@@ -304,11 +333,15 @@
         if (unwritten == 0 && row.isEmpty() && spoken && !stopped && !leaving) {
             north.atRest(this);
         }
-        resume();
+        if (row.isEmpty()) {
+            resume();
+        } else {
+            flush(); // what was held back until earlier answers had left
+        }
     }
 
     private void resume() {
-        if (paused && !stopped && row.size() < MOST_OWED / 2 && unwritten < MOST_UNWRITTEN / 2) {
+        if (paused && !stopped && unwritten < MOST_UNWRITTEN / 2) {
             readOn();
         }
     }
--- a/balancer/src/main/java/baymoor/resp/RespWriter.java
+++ b/balancer/src/main/java/baymoor/resp/RespWriter.java
@@ -29,6 +29,15 @@
         return all;
     }
 
+    /** The same again and again. */
+    public static byte[] times(byte[] content, int count) {
+        byte[] all = new byte[content.length * count];
+        for (int i = 0; i < count; i++) {
+            System.arraycopy(content, 0, all, i * content.length, content.length);
+        }
+        return all;
+    }
+
     public static byte[] simple(String text) {
         return ascii("+" + oneLine(text) + "\r\n");
     }
--- a/balancer/src/test/java/baymoor/CrossingsIT.java
+++ b/balancer/src/test/java/baymoor/CrossingsIT.java
@@ -69,6 +69,24 @@
         world.counted("relays_served:1");
     }
 
+    /** Danger: a client that is read no further because it sent much is not seen to leave, and all that it sent goes on. */
+    @Test
+    public void aClientSendsMuchAtOnceAndLeaves() throws Exception {
+        World.Server router = world.router("s-a", 0, words -> null);
+        world.start();
+        try (World.Client client = world.client()) {
+            StringBuilder much = new StringBuilder();
+            for (int i = 0; i < 3000; i++) {
+                much.append(World.Client.text(order("r" + i)));
+            }
+            client.raw(much.toString());
+            world.counted("turned_away:" + (3000 - 128));
+        }
+        world.counted("requests_gone:128");
+        world.counted("requests:128");
+        assertTrue(router.got.size() <= 128);
+    }
+
     /** Danger: a request that is read in the moment in which its connection is closed, and neither answered nor left unread. */
     @Test
     public void requestsThatCrossTheEndAreAnsweredOrLeftToTheirClients() throws Exception {
