What clients leave of the aim says what is late at a router; what can be in time goes first

Cause 1: Slots.ended called an answer late past half of the class's aim; these clients gave a part of it, so that queues of their whole time stayed and limits at 16. Now it is half of what clients lately gave (mean over 64 requests, so that one in a hurry changes nothing; a first trial with each try's own time cut limits for those, which a test forbids). Now the worth at the time when it can be back comes first.

--- a/balancer/src/main/java/merlinstep/Job.java
+++ b/balancer/src/main/java/merlinstep/Job.java
@@ -10,8 +10,8 @@
     final Request request;
     final RequestClass kind;
     final long key, arrivedMicros;
-    double worth;
-    long usefulUntilMicros, sentMicros;
+    final double worth;
+    long inTimeUntilMicros, usefulUntilMicros, sentMicros;
     long ranMicros = Long.MIN_VALUE;
     int attempts;
     int spread = 1;
@@ -22,10 +22,16 @@
     Job(Request request, RequestClass kind, long now) {
         this.request = request;
         this.kind = kind;
+        worth = kind.worth();
         key = request.hasKey() ? request.key() : Hash.mix(request.id().hashCode());
         arrivedMicros = now;
     }
 
+    /** What an answer at a time is worth. */
+    double worthAt(long micros) {
+        return micros <= inTimeUntilMicros ? worth : worth * kind.lateWorth();
+    }
+
     /** A refusal in the later half of the time costs the client that wait for nothing, unless something was tried. */
     long heldUntilMicros() {
         long half = arrivedMicros + (request.deadlineMicros() - arrivedMicros) / 2;
--- a/balancer/src/main/java/merlinstep/Rules.java
+++ b/balancer/src/main/java/merlinstep/Rules.java
@@ -56,6 +56,7 @@
     static final double SILENT_LATENCIES = 3; // mean latencies of silence that prove it
     static final double FAILING = 0.5; // errors among its answers that put a cache out of use: most fail
     static final double DOUBTFUL = 0.25; // a failed request goes to another cache; below, its value is there
+    static final int GIVEN_SEEN = 64; // requests over which what clients give is taken: few are in a hurry
     static final int ANSWERS_SEEN = 8; // answers over which that part is taken: a second's at a small cache
     static final double DOUBTFUL_LATENCIES = 1.25; // mean latencies that a server in doubt is given at least
     static final double MOST_NEED = 0.75; // of the shortest aim: more, and none could show that less will do
@@ -422,11 +423,10 @@
             int incarnation = b.getShort() & 0xffff;
             int sequence = b.getInt();
             Figures f = Figures.decode(b);
-            byte[] loads = Arrays.copyOfRange(content, b.position(), content.length);
             Peer p = all[from];
             boolean known = p.heardMicros != NEVER && incarnation == p.incarnation;
             if (!f.possible() || known && sequence <= p.sequence) return; // foreign, repeated or overtaken
-            p.hear(incarnation, sequence, now, f, loads);
+            p.hear(incarnation, sequence, now, f, Arrays.copyOfRange(content, b.position(), content.length));
             for (int i = 0; i < from; i++) if (all[i].fresh) return;
             ledger.follow(f.period(), f.positionMillis());
         }
@@ -447,8 +447,6 @@
         private double usable, meanLoad, mostTaken, hitMicros = shortestAimMicros / 4, needMicros = hitMicros;
         private long halvedMicros = NEVER, heardMicros = NEVER / 2;
 
-        Cache origin() { return origin; }
-
         /** Takes a list in; slots are ranked anew only where caches came or went. */
         void listed(ServerList list) {
             Set<Cache> seen = new HashSet<>();
@@ -639,7 +637,7 @@
         }
 
         /** Health from outcomes: any answer clears a server, silence and no connection speak against it. */
-        void ended(Cache c, AttemptEnded e, long aimMicros) {
+        void ended(Cache c, AttemptEnded e, double aimMicros) {
             Outcome outcome = e.outcome();
             long latencyMicros = e.latencyMicros();
             c.outstanding = Math.max(0, c.outstanding - 1);
@@ -761,7 +759,7 @@
 
         /** Spends what credits there are: writes first, then the key whose waiters are worth most. */
         void release() {
-            Cache origin = slots.origin();
+            Cache origin = slots.origin;
             if (origin == null || slots.out(origin) && !(queued() > 0 && slots.trial(origin))) return;
             while (!writes.isEmpty() && ledger.mayWrite()) {
                 ledger.spend();
@@ -821,14 +819,16 @@
 
         /** A cache has room again: of those that wait for it, what is worth most goes first. */
         void unpark(Cache c) {
-            Job best = parked.stream().filter(j -> j.parkedFor == c).min(Held::before).orElse(null);
+            Job best = parked.stream().filter(j -> j.parkedFor == c).min(this::before).orElse(null);
             if (best == null || !slots.room(c)) return;
             parked.remove(best);
             attempts.ask(best);
         }
 
-        private static int before(Job a, Job b) {
-            int byWorth = Double.compare(b.worth, a.worth);
+        private int before(Job a, Job b) {
+            // Danger: first come, first served, all are late where more come than can be served.
+            long back = now + (long) slots.hitMicros;
+            int byWorth = Double.compare(b.worthAt(back), a.worthAt(back));
             return byWorth != 0 ? byWorth : Long.compare(a.usefulUntilMicros, b.usefulUntilMicros);
         }
 
@@ -843,7 +843,7 @@
             }
             for (Job j : writes) if (j.heldUntilMicros() < fetch) late.add(j);
             for (Job j : late) attempts.finish(j);
-            List<Job> again = parked.stream().sorted(Held::before).toList();
+            List<Job> again = parked.stream().sorted(this::before).toList();
             parked.clear();
             for (Job j : again) attempts.ask(j);
             release();
@@ -856,14 +856,15 @@
         private final RequestClass unknown =
                 new RequestClass("", 0, 0, 1, Effect.UNSAFE, Group.CELL, 0, 0, 0, false);
         int originOutstanding;
+        private double given = 1; // part of its aim that a client leaves: it may give up long before
 
         void arrived(Request r) {
             RequestClass kind = classes.getOrDefault(r.requestClass(), unknown);
             Job job = new Job(r, kind, now);
-            job.worth = kind.worth();
             long aim = kind.aimMicros() + (long) (kind.aimPerWork() * r.workMicros());
-            boolean byAim = kind.lateWorth() == 0 && kind.aimMicros() > 0;
-            job.usefulUntilMicros = byAim ? Math.min(now + aim, r.deadlineMicros()) : r.deadlineMicros();
+            job.inTimeUntilMicros = aim > 0 ? Math.min(now + aim, r.deadlineMicros()) : r.deadlineMicros();
+            job.usefulUntilMicros = kind.lateWorth() == 0 ? job.inTimeUntilMicros : r.deadlineMicros();
+            given += (Math.min(1, (r.deadlineMicros() - now) / (aim + 1.0)) - given) / GIVEN_SEEN;
             jobs.put(r.id(), job);
             job.spread = slots.spread(job.key);
             if (r.write() && aside) held.write(job);
@@ -926,7 +927,8 @@
         void ended(AttemptEnded e) {
             Job job = jobs.get(e.request());
             Cache at = job != null && job.at != null ? job.at : slots.byId.get(e.server());
-            if (at != null) slots.ended(at, e, job == null ? shortestAimMicros : job.kind.aimMicros());
+            long aim = job == null ? shortestAimMicros : job.kind.aimMicros();
+            if (at != null) slots.ended(at, e, aim * given);
             if (at != null && at.origin) {
                 originOutstanding = Math.max(0, originOutstanding - 1);
                 budget.ended(e.outcome(), e.latencyMicros());
@@ -982,9 +984,8 @@
         /** Calls off what waits at a silent cache, so that it can go elsewhere while there is time. */
         void abandon(Cache c) {
             if (!settings.limits().mayCancel()) return;
-            List<Job> stuck = new ArrayList<>();
-            for (Job j : jobs.values()) if (j.at == c && j.kind.effect() == Effect.SAFE) stuck.add(j);
-            for (Job j : stuck) out.accept(new Cancel(j.request.id(), j.attempts - 1));
+            for (Job j : jobs.values()) if (j.at == c && j.kind.effect() == Effect.SAFE)
+                out.accept(new Cancel(j.request.id(), j.attempts - 1));
         }
     }
 
--- a/balancer/src/test/java/merlinstep/Timeline.java
+++ b/balancer/src/test/java/merlinstep/Timeline.java
@@ -83,6 +83,7 @@
     static Settings settings(int index, int balancers, int maxAttempts, Membership membership, boolean tenants) {
         List<RequestClass> classes = List.of(
                 new RequestClass("read", 800_000, 0, 2_500_000, Effect.SAFE, Group.ALL, 0, 2, 0, false),
+                new RequestClass("patient", 800_000, 0, 2_500_000, Effect.SAFE, Group.ALL, 0, 2, 0.5, false),
                 new RequestClass("write", 900_000, 0, 2_500_000, Effect.KEYED, Group.ALL, 5 * SECOND, 8, 0, false),
                 new RequestClass("zoned", 900_000, 0, 2_500_000, Effect.KEYED, Group.ZONE, 5 * SECOND, 8, 0, false),
                 new RequestClass("celled", 900_000, 0, 2_500_000, Effect.KEYED, Group.CELL, 5 * SECOND, 8, 0, false),
