A start takes no client before the agent has spoken, and signals that cross it are kept

- Where lists are pushed, what the agent holds counts as told from the first moment of a process, whose configuration may be old.
The program listened at once and served from the old list until the agent's answer came; the two crossed.
It listens now after the agent's first list, or after 1 s where the agent is silent.
- SIGHUP ends a JVM that does not handle it, and the handler came after the configuration, the rehearsal and the classes of the net.
It is set first of all now; one that comes during the start is followed once the program serves.
Two in a row were read on two threads and could be applied in the wrong order: Reloads takes one after another.
- SIGTERM between the listening and its hook left what was taken unanswered: the hook is set before, and ends a start at once.
In virtual time balancers listen likewise.

--- a/balancer/src/main/java/baymoor/assembly/Assembly.java
+++ b/balancer/src/main/java/baymoor/assembly/Assembly.java
@@ -43,6 +43,8 @@
     /** Open requests that the memory bears beside their values, whatever the settings allow. */
     private static final int MOST_OPEN = 8192;
     private static final long LOOK_MICROS = 10_000;
+    /** An agent answers at once, unless discovery is down: then the list of the configuration is the best there is. */
+    private static final long FIRST_LIST_MICROS = 1_000_000;
     /**
      * For clients to take their last answer and end their side: a program that ends before resets connections on which
      * something came in unread. Within what {@link #END_MICROS} leaves before SIGKILL.
@@ -58,6 +60,7 @@
     private final Inventory inventory;
     private final Discovery discovery;
     private final Peers peers;
+    private Runnable toServe;
 
     public Assembly(Settings settings, Surroundings around) {
         this.settings = settings;
@@ -81,6 +84,7 @@
                 list -> {
                     dispatcher.listed(list);
                     inventory.forget(south::uses);
+                    ready();
                 });
         peers = new Peers(settings.peers(), settings.peerListen(), settings.peersAll(), around.peers(), counters,
                 dispatcher::heard);
@@ -95,8 +99,12 @@
     /**
      * Takes the list that the configuration holds, if any, and where lists are pushed begins to listen to the agent that
      * they are pushed to: nothing arrives by itself on sockets, and the module orders no watch there. The first event.
+     *
+     * @param serve begins to take clients. Danger: what the agent holds counts as told from the first moment on, while the
+     *              configuration's list may be old; so this waits for the agent's first word, or a second where it is silent
      */
-    public void start() {
+    public void start(Runnable serve) {
+        toServe = serve;
         if (settings.known() != null) {
             try {
                 dispatcher.listed(inventory.known(settings.known()));
@@ -106,6 +114,17 @@
         }
         if (settings.module().membership() == Decisions.Membership.PUSH) {
             discovery.attend(settings.module().rules().drainGraceMicros());
+            time.after(FIRST_LIST_MICROS, this::ready);
+        } else {
+            ready();
+        }
+    }
+
+    private void ready() {
+        Runnable serve = toServe;
+        toServe = null;
+        if (serve != null) {
+            serve.run();
         }
     }
 
--- a/balancer/src/main/java/baymoor/serve/Balancer.java
+++ b/balancer/src/main/java/baymoor/serve/Balancer.java
@@ -23,7 +23,10 @@
     private final DecisionThread thread;
     private final MinaNet net;
     private final Assembly parts;
+    private final CountDownLatch ready = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
+    private boolean listening;
+    private boolean ending;
 
     Balancer(Settings settings, Log log) {
         this.settings = settings;
@@ -37,21 +40,36 @@
                 counters, log));
     }
 
-    void start() throws IOException {
+    /** Returns once it listens, or was told to end before that. */
+    void start() throws IOException, InterruptedException {
         if (settings.peerListen() != null && settings.module().limits().mayTellPeers()) {
             net.listenToPeers(settings.peerListen(), parts::heard);
         }
-        thread.post(parts::start);
+        thread.post(() -> parts.start(ready::countDown));
         new Thread(thread, "decisions").start();
-        net.listen(settings.listen(), parts::client);
+        ready.await();
+        synchronized (this) {
+            if (!ending) {
+                net.listen(settings.listen(), parts::client);
+                listening = true;
+                log.accept("listening: " + settings.listen().getAddress().getHostAddress() + ":"
+                        + settings.listen().getPort());
+            }
+        }
     }
 
     void reload(Settings fresh) {
         thread.post(() -> parts.reload(fresh));
     }
 
-    /** Serves on for a while, then takes nothing new, answers all that was taken, and returns. */
+    /** Serves on for a while, then takes nothing new, answers all that was taken, and returns; at once before it listens. */
     void drain() {
+        synchronized (this) {
+            ending = true;
+            if (!listening) {
+                return;
+            }
+        }
         thread.post(() -> parts.drain(() -> new Thread(net::stopListening, "stop-listening").start(),
                 ended::countDown));
         try {
--- a/balancer/src/main/java/baymoor/serve/Main.java
+++ b/balancer/src/main/java/baymoor/serve/Main.java
@@ -26,7 +26,10 @@
             System.err.println("usage: java -jar baymoor.jar serve");
             System.exit(USAGE);
         }
+        Reloads reloads = new Reloads();
         try {
+            // First of all, since SIGHUP ends a JVM that does not handle it, and may come while this one starts.
+            Hangup.handle(reloads::asked);
             Settings settings = Config.read(System.getenv());
             Log log = Log.ofEnvironment(System.getenv(), settings.name());
             Balancer balancer = new Balancer(settings, log);
@@ -36,10 +39,11 @@
                 System.exit(0);
             }
             Rehearsal.play(settings.module(), REHEARSED);
-            Hangup.handle(() -> reload(balancer, log));
-            balancer.start();
-            log.accept("listening: " + settings.listen().getAddress().getHostAddress() + ":" + settings.listen().getPort());
-            Runtime.getRuntime().addShutdownHook(new Thread(balancer::drain, "drain"));
+            // Before it listens: a SIGTERM between the two would leave what was taken by then unanswered.
+            if (atTheEnd(balancer::drain)) {
+                balancer.start();
+                reloads.serving(balancer, log);
+            }
         } catch (BadConfig e) {
             System.err.println(e.getMessage());
             System.exit(CANNOT_START);
@@ -49,15 +53,18 @@
         } catch (ReflectiveOperationException e) {
             System.err.println("can't handle SIGHUP: " + e);
             System.exit(CANNOT_START);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
-    /** A file that can't be used is logged, and what was read before stays. */
-    private static void reload(Balancer balancer, Log log) {
+    /** False where the program was told to end already: the JVM takes no hook any more. */
+    private static boolean atTheEnd(Runnable task) {
         try {
-            balancer.reload(Config.read(System.getenv()));
-        } catch (BadConfig | RuntimeException e) {
-            log.accept(e.getMessage() + "; the old configuration stays");
+            Runtime.getRuntime().addShutdownHook(new Thread(task, "drain"));
+            return true;
+        } catch (IllegalStateException e) {
+            return false;
         }
     }
 }
--- /dev/null
+++ b/balancer/src/main/java/baymoor/serve/Reloads.java
@@ -0,0 +1,41 @@
+package baymoor.serve;
+
+import baymoor.config.BadConfig;
+import baymoor.config.Config;
+
+/**
+ * Reads the configuration again when that is asked for, one reading after another, so that the last one is the newest. What is
+ * asked for while the program starts is done once it serves: the file may have been read before it was replaced.
+ */
+final class Reloads {
+
+    private Balancer balancer;
+    private Log log;
+    private boolean asked;
+
+    /** SIGHUP has come, on whatever thread. */
+    synchronized void asked() {
+        asked = true;
+        read();
+    }
+
+    /** From now on there is a balancer to hand it to. */
+    synchronized void serving(Balancer serves, Log logger) {
+        balancer = serves;
+        log = logger;
+        read();
+    }
+
+    /** A file that can't be used is logged, and what was read before stays. */
+    private void read() {
+        if (!asked || balancer == null) {
+            return;
+        }
+        asked = false;
+        try {
+            balancer.reload(Config.read(System.getenv()));
+        } catch (BadConfig | RuntimeException e) {
+            log.accept(e.getMessage() + "; the old configuration stays");
+        }
+    }
+}
--- a/balancer/src/test/java/baymoor/CrossingsIT.java
+++ b/balancer/src/test/java/baymoor/CrossingsIT.java
@@ -1,6 +1,7 @@
 package baymoor;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
 import java.io.EOFException;
@@ -131,4 +132,122 @@
         sent.removeAll(answered);
         assertEquals("sent on and not answered", Set.of(), sent);
     }
+
+    private static String[] read(int key) {
+        return new String[] {"OBJ.GET", Integer.toHexString(key), "id" + key, "c=map-read,t=fraser-surveyors,d=1400"};
+    }
+
+    /** What a list that has fallen silent misses counts as told 6 s later, whatever becomes of a call. */
+    @Test
+    public void aListThatGoesQuietIsHadAgainInTimeThoughTheFirstCallIsNeverAnswered() throws Exception {
+        World.Server leaving = world.router("s-a", 0, words -> VALUE);
+        World.Server staying = world.router("s-b", 0, words -> VALUE);
+        world.scripted().start();
+        world.called().watched().says(world.whole(1));
+        long silent = System.nanoTime();
+        World.Call hangs = world.called();
+        World.Call second = world.called();
+        long millis = TimeUnit.NANOSECONDS.toMillis(second.nanos - silent);
+        assertTrue("asked again " + millis + " ms after the silence began", millis < 5_500);
+        second.watched().says(world.whole(2)).says("{\"index\":3,\"snapshot\":false,\"endpoints\":["
+                + World.endpoint("s-a", leaving.port, "two-core", "terminating", 0) + "]}");
+        assertTrue(hangs.target, hangs.target.contains("watch=1&from=1"));
+        try (World.Client client = world.client()) {
+            int key = 0;
+            while (staying.got.isEmpty() || !client.ask("INFO").contains("inventory_lists:3\n")) {
+                assertEquals("v", client.ask(read(key++)));
+            }
+            int before = leaving.got.size();
+            for (int i = 0; i < 100; i++) {
+                assertEquals("v", client.ask(read(key++)));
+            }
+            assertEquals(before, leaving.got.size());
+        }
+    }
+
+    /** What the agent holds counts as told from the first moment of a new process, whose configuration may be old. */
+    @Test
+    public void aStartServesNobodyBeforeTheAgentHasSpoken() throws Exception {
+        World.Server leaving = world.router("s-a", 0, words -> VALUE);
+        world.router("s-b", 0, words -> VALUE);
+        world.pushed().scripted();
+        world.launch(world.config());
+        World.Call first = world.called();
+        assertFalse("before it is answered nobody is let in", world.listens());
+        String known = World.endpoint("s-a", leaving.port, "two-core", "in_service", 0);
+        first.watched().says(world.whole(2).replace(known, known.replace("in_service", "terminating")));
+        world.awaited();
+        try (World.Client client = world.client()) {
+            for (int i = 0; i < 100; i++) {
+                assertEquals("v", client.ask(read(i)));
+            }
+        }
+        assertEquals(0, leaving.got.size());
+    }
+
+    @Test
+    public void aStartServesFromTheConfigurationsListWhereTheAgentStaysSilent() throws Exception {
+        world.router("s-a", 0, words -> VALUE);
+        world.pushed().scripted().start();
+        try (World.Client client = world.client()) {
+            assertEquals("v", client.ask(read(1)));
+        }
+        world.called().watched().says(world.whole(1));
+        world.counted("inventory_lists:1");
+    }
+
+    @Test
+    public void aSigtermWhileItStartsEndsItAtOnce() throws Exception {
+        world.router("s-a", 0, words -> VALUE);
+        world.pushed().scripted();
+        world.launch(world.config());
+        world.called(); // from here on the program handles signals, and waits for the agent
+        world.process().toHandle().destroy();
+        assertTrue(world.process().waitFor(20, TimeUnit.SECONDS));
+        assertFalse(world.listens());
+    }
+
+    /** Danger: a JVM that does not handle SIGHUP yet ends by it, and one that has read its file keeps the old one. */
+    @Test
+    public void aSighupWhileItStartsIsFollowedOnceItServes() throws Exception {
+        world.router("s-a", 0, words -> VALUE);
+        world.pushed().scripted();
+        world.launch(world.config());
+        World.Call old = world.called();
+        String moved = world.config();
+        world.reload(moved);
+        old.watched().says(world.whole(1));
+        world.awaited();
+        World.Call next = world.called();
+        assertTrue(moved, moved.contains("\"discovery\":\"127.0.0.1:" + next.port() + "\""));
+        next.watched().says(world.whole(2));
+        world.counted("inventory_lists:2");
+    }
+
+    @Test
+    public void aSighupDuringTheEndAndASecondSigtermChangeNothingOfIt() throws Exception {
+        CountDownLatch mayAnswer = new CountDownLatch(1);
+        World.Server router = world.router("s-a", 0, words -> {
+            try {
+                mayAnswer.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return VALUE;
+        });
+        world.start();
+        try (World.Client client = world.client()) {
+            client.send(read(1));
+            while (router.got.isEmpty()) {
+                Thread.onSpinWait();
+            }
+            world.process().toHandle().destroy();
+            world.reload(world.config());
+            world.process().toHandle().destroy();
+            world.reload("{");
+            mayAnswer.countDown();
+            assertEquals("v", client.answer());
+        }
+        assertTrue(world.process().waitFor(20, TimeUnit.SECONDS));
+    }
 }
--- a/balancer/src/test/java/baymoor/World.java
+++ b/balancer/src/test/java/baymoor/World.java
@@ -33,6 +33,8 @@
     private final CountDownLatch watched = new CountDownLatch(1);
     private final BlockingQueue<Integer> watchedAt = new LinkedBlockingQueue<>();
     private final int port = freePort();
+    private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
+    private volatile boolean scripted;
     private boolean pushed;
     private String[] instead = {"", ""};
     private Process process;
@@ -176,14 +178,67 @@
         out.flush();
     }
 
+    /** A call for the list that a test answers by itself. */
+    final class Call {
+        final long nanos = System.nanoTime();
+        final String target;
+        private final Socket socket;
+
+        Call(String target, Socket socket) {
+            this.target = target;
+            this.socket = socket;
+        }
+
+        /** Where it was called. */
+        int port() {
+            return socket.getLocalPort();
+        }
+
+        /** The head of a watch. */
+        Call watched() throws IOException {
+            head(socket.getOutputStream());
+            return this;
+        }
+
+        Call says(String object) throws IOException {
+            World.line(socket.getOutputStream(), object + "\n");
+            return this;
+        }
+    }
+
+    /** The list with all routers and origins in service. */
+    String whole(int index) {
+        return "{\"index\":" + index + ",\"snapshot\":true,\"endpoints\":[" + String.join(",", endpoints) + "]}";
+    }
+
+    /** From now on the calls for lists are answered by the test, each got from here. */
+    World scripted() {
+        scripted = true;
+        return this;
+    }
+
+    /** The next call for the list. */
+    Call called() throws InterruptedException {
+        return calls.poll(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private static void head(OutputStream out) throws IOException {
+        out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+    }
+
     /** Another discovery, which tells the same list; its port. */
     private int discovery() throws IOException {
         return listen(socket -> {
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            request(in);
+            String target = request(in).get(0);
+            if (scripted) {
+                calls.add(new Call(target, socket));
+                in.read();
+                return;
+            }
             OutputStream out = socket.getOutputStream();
-            out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-            line(out, "{\"index\":1,\"snapshot\":true,\"endpoints\":[" + String.join(",", endpoints) + "]}\n");
+            head(out);
+            line(out, whole(1) + "\n");
             watches.add(out);
             watched.countDown();
             watchedAt.add(socket.getLocalPort());
@@ -215,6 +270,20 @@
     /** Starts the built program by the deploy file's own line, with assertions on, and waits until it answers. */
     World start() throws IOException {
         process = launch(config());
+        return awaited();
+    }
+
+    /** Whether somebody listens where the program is to. */
+    boolean listens() {
+        try (Client client = client()) {
+            return client.socket().isConnected();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Waits until the program that was launched answers. */
+    World awaited() throws IOException {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
         while (true) {
             try (Client client = client()) {
--- a/balancer/src/test/java/baymoor/assembly/EveryFieldTest.java
+++ b/balancer/src/test/java/baymoor/assembly/EveryFieldTest.java
@@ -97,7 +97,7 @@
                 link.events = events;
                 return link;
             }, (to, content) -> { }, millis -> millis * 1000, 1 << 20, counters, line -> { }));
-            assembly.start();
+            assembly.start(() -> { });
             LinkEvents events = assembly.client(client);
             client.events = events;
             events.opened();
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualFleet.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualFleet.java
@@ -94,14 +94,17 @@
                             .log(line)));
             b.assembly = assembly;
             b.failuresSeen = 0;
-            b.site.post(assembly::start);
             net.receive(platform.peer(b.number, b.number), b.site, assembly::heard);
-            net.listen(platform.balancer(b.number), b.site, (link, from) -> assembly.client(sabotage.client(b.site, link)));
+            b.site.post(() -> assembly.start(() -> serve(b, assembly)));
         } catch (BadConfig e) {
             throw new IllegalStateException("a configuration of our own making is bad: " + e.getMessage(), e);
         }
-        b.up = true;
         log.line("start", b.site.name(), "-", b.life, 0);
+    }
+
+    private void serve(Balancer b, Assembly assembly) {
+        net.listen(platform.balancer(b.number), b.site, (link, from) -> assembly.client(sabotage.client(b.site, link)));
+        b.up = true;
         watcher.ready(b.number);
     }
 
