--- a/balancer/src/test/java/merlinstep/Timeline.java
+++ b/balancer/src/test/java/merlinstep/Timeline.java
@@ -63,6 +63,13 @@
         return t;
     }
 
+    /** Settings with other figures of the rules. */
+    static Settings withRules(Settings s, RuleFigures rules) {
+        return new Settings(s.index(), s.balancers(), s.seed(), s.zone(), s.zones(), s.kinds(), s.tiers(), 0, s.classes(),
+                s.tenants(), s.membership(), s.origin(), s.limits(), rules, s.prices(), s.goal(), s.reports(),
+                s.reportFields(), s.weights(), false, 0.1, false, 5_000);
+    }
+
     static List<Server> servers(int caches) {
         List<Server> servers = new ArrayList<>();
         for (int i = 1; i <= caches; i++) {
