A crowd that comes at once waits in the listener's queue instead of taking every descriptor

Seen on loopback: 400 idle connections opened at once to a program with limits.sockets of 128, while discovery refused its call: 391 descriptors held (the bound is kept by the decision thread, which hears of a connection after it was accepted). Under the platform's limit that is EMFILE: no call to discovery or a router, and MINA accepts nothing for a second. Change: Gate holds the acceptor's thread while as many accepted connections as there may be are not over (the clients' share and 24), a second at the most, so that a lost count shuts nobody out; it opens when the listening ends. What there may be beyond the shares is halved (8 each of turned away, evicted, closing), so that with 25 of the JVM's and three calls for lists it stays within the 64 set aside.

--- a/balancer/src/main/java/baymoor/assembly/Assembly.java
+++ b/balancer/src/main/java/baymoor/assembly/Assembly.java
@@ -33,7 +33,10 @@
     public record Surroundings(Time time, Dialer dialer, PeerLink peers, LongUnaryOperator unixMillisToMicros,
             long mostValueBytes, Counters counters, Consumer<String> log) { }
 
-    /** Descriptors that are neither clients' nor hosts': listeners, selectors, discovery, files of the JVM. */
+    /**
+     * Descriptors that are neither clients' nor hosts': 25 of listeners, selectors, peers and files of the JVM, two watches and a
+     * call for the list, and what there may be of connections past the bounds while others close.
+     */
     private static final int OTHER_DESCRIPTORS = 64;
     /** New connections are said to keep coming for up to 0.4 s after SIGTERM. */
     private static final long ACCEPT_ON_MICROS = 600_000;
@@ -71,7 +74,7 @@
         dispatcher = new Dispatcher(Decisions.start(module), module.limits(), module.classes(), time,
                 counters, log);
         inventory = new Inventory(around.unixMillisToMicros(), counters);
-        int half = (settings.sockets() - OTHER_DESCRIPTORS) / 2;
+        int half = half(settings);
         north = new North(time, counters, module.classes().stream().map(Decisions.RequestClass::name)
                 .collect(Collectors.toSet()), dispatcher, half, most(module.limits().maxOpen()),
                 around.mostValueBytes(), counters::report);
@@ -91,6 +94,15 @@
         dispatcher.connect(north, south, discovery, peers);
     }
 
+    private static int half(Settings settings) {
+        return (settings.sockets() - OTHER_DESCRIPTORS) / 2;
+    }
+
+    /** Clients' connections that there may be at a time, those that are to go included. */
+    public static int mostAccepted(Settings settings) {
+        return half(settings) + North.MOST_BEYOND;
+    }
+
     /** The setting's bound, where there is one; an absent one reads as 0. */
     private static int most(int open) {
         return open > 0 ? Math.min(open, MOST_OPEN) : MOST_OPEN;
--- a/balancer/src/main/java/baymoor/net/MinaNet.java
+++ b/balancer/src/main/java/baymoor/net/MinaNet.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -15,6 +16,7 @@
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.IdleStatus;
 import org.apache.mina.core.session.IoSession;
@@ -36,15 +38,33 @@
     private final DecisionThread thread;
     private final SimpleIoProcessorPool<NioSession> processors = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
     private final NioSocketConnector connector = new NioSocketConnector(processors);
-    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(processors);
+    private final Gate gate;
+    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(processors) {
+        @Override
+        protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
+            gate.await();
+            NioSession session = super.accept(processor, handle);
+            if (session != null) {
+                gate.entered();
+            }
+            return session;
+        }
+    };
     private final Map<SocketAddress, Function<Link, LinkEvents>> listeners = new ConcurrentHashMap<>();
     /** Who takes a connection at whatever address, while there is one listener only. */
     private volatile Function<Link, LinkEvents> anyone;
     private NioDatagramAcceptor datagrams;
     private InetSocketAddress peerAddress;
 
+    /** Without a bound on what it accepts. */
     public MinaNet(DecisionThread thread) {
+        this(thread, 0);
+    }
+
+    /** @param mostAccepted connections accepted and not over, past which the next ones wait in the listener's queue */
+    public MinaNet(DecisionThread thread, int mostAccepted) {
         this.thread = thread;
+        gate = new Gate(mostAccepted);
         connector.setHandler(new Handler(false));
         configure(connector.getSessionConfig());
         configure(acceptor.getSessionConfig());
@@ -91,6 +111,7 @@
 
     /** Takes no further connections; those there are stay. */
     public void stopListening() {
+        gate.open();
         acceptor.setCloseOnDeactivation(false);
         acceptor.unbind();
     }
@@ -121,6 +142,7 @@
 
     /** Closes all there is, for programs that go on without it. */
     public void close() {
+        gate.open();
         acceptor.dispose();
         connector.dispose();
         if (datagrams != null) {
@@ -204,6 +226,9 @@
 
         @Override
         public void sessionClosed(IoSession session) {
+            if (accepts) {
+                gate.left();
+            }
             link(session).tellClosed();
         }
     }
--- a/balancer/src/main/java/baymoor/north/North.java
+++ b/balancer/src/main/java/baymoor/north/North.java
@@ -24,9 +24,11 @@
     private static final int ROOMY_PERCENT = 30;
     private static final long RESTING_MICROS = 100_000;
     /** Connections past the bound that are told to come back; a crowd past these is closed unheard. */
-    private static final int MOST_EXTRA = 16;
+    private static final int MOST_EXTRA = 8;
     /** Connections that made room and whose clients take their time to end them. */
-    private static final int MOST_EVICTED = 16;
+    private static final int MOST_EVICTED = 8;
+    /** Connections past the bound at the most: those two, and as many whose end is not through yet. */
+    public static final int MOST_BEYOND = 2 * MOST_EXTRA + MOST_EVICTED;
 
     final Time time;
     final Counters counters;
--- a/balancer/src/main/java/baymoor/serve/Balancer.java
+++ b/balancer/src/main/java/baymoor/serve/Balancer.java
@@ -33,7 +33,7 @@
         this.log = log;
         Counters counters = new Counters();
         thread = new DecisionThread(counters, log);
-        net = new MinaNet(thread);
+        net = new MinaNet(thread, Assembly.mostAccepted(settings));
         long clocksApart = thread.read() - System.currentTimeMillis() * 1000;
         parts = new Assembly(settings, new Assembly.Surroundings(thread, net, net,
                 sinceMillis -> sinceMillis * 1000 + clocksApart, Runtime.getRuntime().maxMemory() / VALUES_PART,
--- a/balancer/src/main/java/baymoor/south/South.java
+++ b/balancer/src/main/java/baymoor/south/South.java
@@ -32,7 +32,7 @@
     private static final long IDLE_MARGIN_MICROS = 3_000_000;
     private static final long PROBE_MICROS = 400_000;
     private static final int STALL_PART = 4;
-    private static final int MOST_CLOSING = 16;
+    private static final int MOST_CLOSING = 8;
 
     final Dialer dialer;
     final Time time;
--- a/balancer/src/test/java/baymoor/CrossingsIT.java
+++ b/balancer/src/test/java/baymoor/CrossingsIT.java
@@ -40,7 +40,7 @@
 
     @Test
     public void aClientLeavesWhileTheConnectionForItsRequestIsComingUp() throws Exception {
-        World.Late router = world.settings("\"connect_timeout\": 250000", "\"connect_timeout\": 15000000")
+        World.Late router = world.with("\"connect_timeout\": 250000", "\"connect_timeout\": 15000000")
                 .new Late("s-a", VALUE);
         world.start();
         try (World.Client client = world.client()) {
@@ -58,7 +58,7 @@
 
     @Test
     public void aClientLeavesOnceTheConnectionForItsRequestIsUp() throws Exception {
-        World.Late router = world.settings("\"connect_timeout\": 250000", "\"connect_timeout\": 15000000")
+        World.Late router = world.with("\"connect_timeout\": 250000", "\"connect_timeout\": 15000000")
                 .new Late("s-a", VALUE);
         world.start();
         try (World.Client client = world.client()) {
@@ -250,4 +250,28 @@
         }
         assertTrue(world.process().waitFor(20, TimeUnit.SECONDS));
     }
+
+    /** Clients that ask for nothing may take every descriptor while discovery is down; its return and the routers find room. */
+    @Test
+    public void idleClientsFillTheDescriptorsWhileDiscoveryIsDown() throws Exception {
+        world.router("s-a", 0, words -> VALUE);
+        world.with("\"sockets\":1024", "\"sockets\":128").scripted().start();
+        world.called().refuse();
+        List<World.Client> crowd = new ArrayList<>();
+        long most = 0;
+        for (int i = 0; i < 400; i++) {
+            crowd.add(world.client());
+            most = Math.max(most, world.descriptors());
+        }
+        world.called().watched().says(world.whole(7));
+        world.counted("inventory_lists:1");
+        try (World.Client client = world.client()) {
+            assertEquals("v", client.ask(read(1)));
+        }
+        most = Math.max(most, world.descriptors());
+        assertTrue(most + " descriptors", most <= 128);
+        for (World.Client idle : crowd) {
+            idle.close();
+        }
+    }
 }
--- a/balancer/src/test/java/baymoor/ProgramIT.java
+++ b/balancer/src/test/java/baymoor/ProgramIT.java
@@ -14,7 +14,6 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 import org.junit.After;
 import org.junit.Test;
 
@@ -96,10 +95,7 @@
         }
         assertEquals("the oldest was idle longest", -1, crowd.get(0).socket().getInputStream().read());
         assertEquals("v", crowd.get(699).ask(read("0a", "1")));
-        Path descriptors = Path.of("/proc/" + world.process().pid() + "/fd");
-        try (Stream<Path> all = Files.list(descriptors)) {
-            assertTrue(all.count() < 600);
-        }
+        assertTrue(world.descriptors() < 600);
         for (World.Client client : crowd) {
             client.close();
         }
--- a/balancer/src/test/java/baymoor/World.java
+++ b/balancer/src/test/java/baymoor/World.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.stream.Stream;
 
 /** What the built program needs round it, on free loopback ports: discovery, routers, an origin and clients. */
 final class World implements Closeable {
@@ -189,6 +190,11 @@
             this.socket = socket;
         }
 
+        /** Ends it with no answer. */
+        void refuse() throws IOException {
+            socket.close();
+        }
+
         /** Where it was called. */
         int port() {
             return socket.getLocalPort();
@@ -247,16 +253,15 @@
     }
 
     String config() throws IOException {
-        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery() + "\","
+        return ("{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery() + "\","
                 + "\"seed\":\"1f\",\"limits\":{\"sockets\":1024,\"memory_mb\":128},\"known\":{\"index\":0,\"endpoints\":["
                 + String.join(",", endpoints) + "]},\"settings\":" + Files.readString(
                         Path.of("balancer/src/test/resources/settings.json"))
-                        .replace("subscribe", pushed ? "automatic" : "subscribe")
-                        .replace(instead[0], instead[1]) + "}";
+                        .replace("subscribe", pushed ? "automatic" : "subscribe") + "}").replace(instead[0], instead[1]);
     }
 
-    /** From now on the settings hold another text in the place of one of theirs. */
-    World settings(String was, String is) {
+    /** From now on configurations hold another text in the place of one of theirs. */
+    World with(String was, String is) {
         instead = new String[] {was, is};
         return this;
     }
@@ -273,6 +278,13 @@
         return awaited();
     }
 
+    /** How many descriptors the program holds. */
+    long descriptors() throws IOException {
+        try (Stream<Path> all = Files.list(Path.of("/proc/" + process.pid() + "/fd"))) {
+            return all.count();
+        }
+    }
+
     /** Whether somebody listens where the program is to. */
     boolean listens() {
         try (Client client = client()) {
