--- a/emulator/src/test/java/baymoor/emulator/virtual/ReplayTest.java
+++ b/emulator/src/test/java/baymoor/emulator/virtual/ReplayTest.java
@@ -20,7 +20,7 @@
 
     static final List<String> EXAMPLES = List.of("january-surge", "data-centre-cut", "slow-store", "rolling-restart",
             "cold-router", "scan", "bad-routers", "mass-kill", "zone-back-cold", "replaced-routers", "planning-day",
-            "planning-troubles");
+            "planning-troubles", "many-before-cold");
 
     private static Scenario example(String name) throws Exception {
         return ScenarioReader.read(Path.of("examples/scenarios/" + name + ".toml"));
