Settings: a class named twice is refused by its field; a table of odd ones that serve

A class with no deadline, an unknown effect, a limit of 0, a negative share were named already (cases added); of two classes of one name the later one won without a word, now the second is named. Windows, aims, shares, quotas, time-outs and graces of 0, shares beyond all: a request is answered under each (EveryFieldTest.oddSettingsServe, 16 cases).

--- a/balancer/src/main/java/baymoor/config/Config.java
+++ b/balancer/src/main/java/baymoor/config/Config.java
@@ -6,8 +6,10 @@
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import merlinstep.Decisions;
 import merlinstep.Decisions.Effect;
 import merlinstep.Decisions.Goal;
@@ -80,7 +82,11 @@
 
     private static Decisions.Settings module(Fields f, long seed) throws BadConfig {
         List<RequestClass> classes = new ArrayList<>();
+        Set<String> names = new HashSet<>();
         for (Fields c : f.objects("classes")) {
+            if (!names.add(c.text("name"))) {
+                throw c.bad("name", "names a class that there is already");
+            }
             classes.add(new RequestClass(c.text("name"), c.span("on_time", 0), c.amount("aim_stretch", 0),
                     c.atLeast("hard_limit", 1),
                     c.choice("effect", Effect.UNSAFE,
--- a/balancer/src/main/java/baymoor/config/Fields.java
+++ b/balancer/src/main/java/baymoor/config/Fields.java
@@ -19,7 +19,7 @@
         this.object = object;
     }
 
-    private BadConfig bad(String field, String what) {
+    BadConfig bad(String field, String what) {
         return new BadConfig("config: " + path + field + " " + what);
     }
 
--- a/balancer/src/test/java/baymoor/assembly/EveryFieldTest.java
+++ b/balancer/src/test/java/baymoor/assembly/EveryFieldTest.java
@@ -57,7 +57,10 @@
 
     /** The configuration with another value at a place; null takes it out. */
     private static String with(List<Object> place, Object value) throws Exception {
-        JSONObject top = new JSONObject(good());
+        return with(new JSONObject(good()), place, value);
+    }
+
+    private static String with(JSONObject top, List<Object> place, Object value) {
         Object in = top;
         for (Object step : place.subList(0, place.size() - 1)) {
             in = step instanceof String name ? ((JSONObject) in).get(name) : ((JSONArray) in).get((Integer) step);
@@ -142,6 +145,39 @@
         assertEquals(wrong.size() + " of " + places.size() * (STRANGE.length + 1), Map.of(), wrong);
     }
 
+    /** Settings that are odd and not wrong: a request is answered under each. */
+    @Test
+    public void oddSettingsServe() throws Exception {
+        Object[][] cases = {
+            {"key_ttl", 0, "a window of nothing: what may have run is never sent again"},
+            {"on_time", 0, "no aim: a request is of use until its deadline"},
+            {"on_time", 9_000_000, "an aim beyond the deadline"},
+            {"value", 0, "a class that is worth nothing"},
+            {"share", 0.9, "shares that come to more than all"},
+            {"share", 0, "shares that come to nothing"},
+            {"quota_per_s", 0, "no quota for anybody"},
+            {"connect_timeout", 0, "no time for a connection is said"},
+            {"idle_close", 0, "connections that are never closed as idle"},
+            {"open_cap", 0, "no bound on open requests"},
+            {"max_retry_after", 0, "no advice on when to come again"},
+            {"drain_grace", 0, "no grace"},
+            {"ask_within", 0, "no time to ask within"},
+            {"tip_multiple", 0, "cold caches that fall at nothing"},
+            {"tick", 0, "no tick"},
+            {"cpu_us_per_s", 0, "no bound on processor time"},
+        };
+        for (Object[] c : cases) {
+            JSONObject top = new JSONObject(good());
+            List<List<Object>> named = places(top, List.of()).stream().filter(p -> c[0].equals(p.get(p.size() - 1))).toList();
+            String config = top.toString();
+            for (List<Object> place : named) {
+                config = with(new JSONObject(config), place, c[1]);
+            }
+            assertTrue(c[0] + " is in no place", !named.isEmpty());
+            assertEquals((String) c[2], null, wrong(config, "nothing is to be refused"));
+        }
+    }
+
     @Test
     public void whatIsNotJsonAtAll() {
         for (String text : new String[] {"", "[]", "null", "{", "{\"name\":}", "\u0000"}) {
--- a/balancer/src/test/java/baymoor/config/ConfigTest.java
+++ b/balancer/src/test/java/baymoor/config/ConfigTest.java
@@ -13,8 +13,8 @@
     static final String GOOD = """
             {"name":"n0","listen":"127.0.0.1:6379","discovery":"127.0.0.1:8500","seed":"92094eb940cf389a",
              "limits":{"sockets":1024,"memory_mb":128},"peers":["127.0.0.1:1"],
-             "settings":{"me":0,"siblings":1,"tick":5000,"extra":{"mode":"aside","origin_kind":1},
-              "skus":["two-core","origin"],"classes":[{"name":"read","hard_limit":1500000,"effect":"retryable"}],
+             "settings":{"me":0,"siblings":1,"tick":5000,"tenants":[],"extra":{"mode":"aside","origin_kind":1},
+              "skus":["two-core","origin"],"classes":[{"name":"read","hard_limit":1500000,"key_ttl":0,"effect":"retryable"}],
               "limits":{"max_attempts":5,"connect_timeout":250000}}}""";
 
     @Test
@@ -44,6 +44,11 @@
             {"\"me\":0", "\"me\":3", "settings.me is not from 0 to"},
             {"\"retryable\"", "\"often\"", "settings.classes[0].effect"},
             {"\"hard_limit\":1500000", "\"hard_limit\":0", "settings.classes[0].hard_limit is under 1"},
+            {"\"hard_limit\":1500000,", "", "settings.classes[0].hard_limit is missing"},
+            {"\"max_attempts\":5", "\"max_attempts\":0", "settings.limits.max_attempts"},
+            {"\"key_ttl\":0", "\"key_ttl\":-1", "settings.classes[0].key_ttl"},
+            {"\"tenants\":[]", "\"tenants\":[{\"name\":\"a\",\"share\":-0.5}]", "settings.tenants[0].share"},
+            {"\"effect\":\"retryable\"}", "\"effect\":\"retryable\"},{\"name\":\"read\",\"hard_limit\":9}", "settings.classes[1].name"},
             {"{\"name\":\"n0\"", "{{", "not JSON"},
         };
         for (String[] c : cases) {
