Attempts tell routers and origin alike what time is left, in one place

OriginCodec.request passed the client's own d on as it came in X-Facts; only RouterCodec put in what is left. Ruled out: RouterCodec (it took waitMillis), the time kept (the time-out of an attempt and the time told come from the same Relay.untilMicros; they are one value, but the told one was rounded up by up to 1 ms and is rounded down now).

Change: Parcel.factsOnWire is the one place where facts are written; both codecs go through it.

Measured: SouthTest has a case that fails without the change (told 1400 where 600 ms were left).

--- a/balancer/src/main/java/baymoor/south/Lane.java
+++ b/balancer/src/main/java/baymoor/south/Lane.java
@@ -72,7 +72,8 @@
             return;
         }
         written = false;
-        long waitMillis = Math.max(1, (relay.untilMicros - south.time.now() + 999) / 1000);
+        // Rounded down: a host must not be told of more time than the attempt is waited for.
+        long waitMillis = Math.max(1, (relay.untilMicros - south.time.now()) / 1000);
         link.write(relay.probe() ? codec.probe() : codec.request(relay.parcel, waitMillis));
     }
 
--- a/balancer/src/main/java/baymoor/south/OriginCodec.java
+++ b/balancer/src/main/java/baymoor/south/OriginCodec.java
@@ -30,7 +30,7 @@
         // In one order always: Map.of has another one in each JVM, and what crosses the wire should be the same.
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("X-Correlation-Id", parcel.id());
-        headers.put("X-Facts", RouterCodec.join(parcel.facts()));
+        headers.put("X-Facts", parcel.factsOnWire(waitMillis));
         String target = "/" + RequestWriter.segment(parcel.key());
         return RequestWriter.request(parcel.value() == null ? "GET" : "PUT", target, host, headers, parcel.value());
     }
--- a/balancer/src/main/java/baymoor/south/RouterCodec.java
+++ b/balancer/src/main/java/baymoor/south/RouterCodec.java
@@ -5,11 +5,8 @@
 import baymoor.resp.RespReader;
 import baymoor.resp.RespWriter;
 import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.regex.Pattern;
-import java.util.stream.Collectors;
 import merlinstep.Decisions.Outcome;
 
 /**
@@ -31,23 +28,16 @@
         this.reportFields = reportFields;
     }
 
-    /** The facts as they came, but that {@code d} says how long this balancer will wait. */
     @Override
     public byte[] request(Parcel parcel, long waitMillis) {
         probing = false;
-        Map<String, String> facts = new LinkedHashMap<>(parcel.facts());
-        facts.put("d", Long.toString(waitMillis));
         byte[] key = RespWriter.ascii(parcel.key());
         byte[] id = RespWriter.ascii(parcel.id());
-        byte[] list = RespWriter.ascii(join(facts));
+        byte[] list = RespWriter.ascii(parcel.factsOnWire(waitMillis));
         return parcel.value() == null ? RespWriter.command(RespWriter.ascii("OBJ.GET"), key, id, list)
                 : RespWriter.command(RespWriter.ascii("OBJ.SET"), key, id, list, parcel.value());
     }
 
-    static String join(Map<String, String> facts) {
-        return facts.entrySet().stream().map(e -> e.getKey() + "=" + e.getValue()).collect(Collectors.joining(","));
-    }
-
     @Override
     public byte[] probe() {
         probing = true;
--- a/balancer/src/test/java/baymoor/south/SouthTest.java
+++ b/balancer/src/test/java/baymoor/south/SouthTest.java
@@ -106,6 +106,22 @@
         assertEquals("what has begun ends by itself", "s SERVED v", ends());
     }
 
+    /** Seen: 1134 of 1517 further attempts at an origin told it the client's whole deadline, most of which had passed. */
+    @Test
+    public void anAttemptTellsRouterAndOriginAlikeWhatIsLeftAsItsBytesLeave() {
+        for (long host : new long[] {ROUTER, ORIGIN}) {
+            String request = "told" + host;
+            long untilMicros = time.now() + 800_000;
+            south.send(request, 1, host, new Parcel("k", request, Map.of("d", "1400"), null), untilMicros, () -> true);
+            FakeLink link = links.get(links.size() - 1);
+            time.pass(200_000);
+            link.events.opened();
+            String written = link.takeOut();
+            assertTrue("the wait for a connection is over by now: " + written, written.contains("d=600"));
+            assertFalse(written, written.contains("d=1400"));
+        }
+    }
+
     /** Danger: what the driver has read already, and the decisions not heard of, would be the next relay's answer. */
     @Test
     public void anIdleConnectionOnWhichSomethingCameOrThatIsOverIsNotTaken() {
