--- a/balancer/src/main/java/baymoor/assembly/Assembly.java
+++ b/balancer/src/main/java/baymoor/assembly/Assembly.java
@@ -30,8 +30,14 @@
 public final class Assembly {
 
     /** What the machine round a balancer gives it. */
-    public record Surroundings(Time time, Dialer dialer, PeerLink peers, LongUnaryOperator unixMillisToMicros,
-            long mostValueBytes, Counters counters, Consumer<String> log) { }
+    public record Surroundings(
+            Time time,
+            Dialer dialer,
+            PeerLink peers,
+            LongUnaryOperator unixMillisToMicros,
+            long mostValueBytes,
+            Counters counters,
+            Consumer<String> log) {}
 
     /**
      * Descriptors that are neither clients' nor hosts': 25 of listeners, selectors, peers and files of the JVM, two watches and a
@@ -42,9 +48,11 @@
     private static final long ACCEPT_ON_MICROS = 600_000;
     /** SIGKILL follows 0.7 s after the longest deadline, which counts as 3 s at most; a little before, all ends. */
     private static final long LONGEST_DEADLINE_MICROS = 3_000_000;
+
     private static final long END_MICROS = 500_000;
     /** Open requests that the memory bears beside their values, whatever the settings allow. */
     private static final int MOST_OPEN = 8192;
+
     private static final long LOOK_MICROS = 10_000;
     /** An agent answers at once, unless discovery is down: then the list of the configuration is the best there is. */
     private static final long FIRST_LIST_MICROS = 1_000_000;
@@ -71,25 +79,44 @@
         log = around.log();
         counters = around.counters();
         Decisions.Settings module = settings.module();
-        dispatcher = new Dispatcher(Decisions.start(module), module.limits(), module.classes(), time,
-                counters, log);
+        dispatcher = new Dispatcher(Decisions.start(module), module.limits(), module.classes(), time, counters, log);
         inventory = new Inventory(around.unixMillisToMicros(), counters);
         int half = half(settings);
-        north = new North(time, counters, module.classes().stream().map(Decisions.RequestClass::name)
-                .collect(Collectors.toSet()), dispatcher, half, most(module.limits().maxOpen()),
-                around.mostValueBytes(), counters::report);
+        north = new North(
+                time,
+                counters,
+                module.classes().stream().map(Decisions.RequestClass::name).collect(Collectors.toSet()),
+                dispatcher,
+                half,
+                most(module.limits().maxOpen()),
+                around.mostValueBytes(),
+                counters::report);
         int kind = module.origin().kind();
-        boolean listed = module.origin().mode() == Decisions.Mode.ASIDE && kind >= 0 && kind < module.kinds().size();
+        boolean listed = module.origin().mode() == Decisions.Mode.ASIDE
+                && kind >= 0
+                && kind < module.kinds().size();
         List<String> fields = module.reports() == Decisions.Reports.NONE ? List.of() : module.reportFields();
-        South south = new South(around.dialer(), time, counters, inventory::entry,
-                listed ? module.kinds().get(kind) : null, fields, module.limits(), half, dispatcher);
-        discovery = new Discovery(settings.discovery(), around.dialer(), time, inventory, counters,
-                list -> {
-                    dispatcher.listed(list);
-                    inventory.forget(south::uses);
-                    ready();
-                });
-        peers = new Peers(settings.peers(), settings.peerListen(), settings.peersAll(), around.peers(), counters,
+        South south = new South(
+                around.dialer(),
+                time,
+                counters,
+                inventory::entry,
+                listed ? module.kinds().get(kind) : null,
+                fields,
+                module.limits(),
+                half,
+                dispatcher);
+        discovery = new Discovery(settings.discovery(), around.dialer(), time, inventory, counters, list -> {
+            dispatcher.listed(list);
+            inventory.forget(south::uses);
+            ready();
+        });
+        peers = new Peers(
+                settings.peers(),
+                settings.peerListen(),
+                settings.peersAll(),
+                around.peers(),
+                counters,
                 dispatcher::heard);
         dispatcher.connect(north, south, discovery, peers);
     }
@@ -157,8 +184,10 @@
     /** Takes over what of a new configuration can change under load: where discovery is. The rest needs a new start. */
     public void reload(Settings fresh) {
         log.accept("config: read again, discovery at " + fresh.discovery());
-        boolean same = fresh.name().equals(settings.name()) && fresh.listen().equals(settings.listen())
-                && fresh.sockets() == settings.sockets() && fresh.peers().equals(settings.peers())
+        boolean same = fresh.name().equals(settings.name())
+                && fresh.listen().equals(settings.listen())
+                && fresh.sockets() == settings.sockets()
+                && fresh.peers().equals(settings.peers())
                 && Objects.equals(fresh.peerListen(), settings.peerListen())
                 && Objects.equals(fresh.peersAll(), settings.peersAll());
         if (!same) {
@@ -169,7 +198,9 @@
 
     /** The longest that {@link #drain} takes, in microseconds. */
     public long mostDrainMicros() {
-        long longest = settings.module().classes().stream().mapToLong(Decisions.RequestClass::deadlineMicros).max()
+        long longest = settings.module().classes().stream()
+                .mapToLong(Decisions.RequestClass::deadlineMicros)
+                .max()
                 .orElse(0);
         return Math.min(longest, LONGEST_DEADLINE_MICROS) + END_MICROS;
     }
--- a/balancer/src/main/java/baymoor/config/Config.java
+++ b/balancer/src/main/java/baymoor/config/Config.java
@@ -34,9 +34,10 @@
     private static final int FEWEST_SOCKETS = 128;
     /** Tables are as long as the fleet: far more than any has, and few enough to hold. */
     private static final int MOST_BALANCERS = 10_000;
+
     private static final int MOST = Integer.MAX_VALUE;
 
-    private Config() { }
+    private Config() {}
 
     /** Reads the file that {@code ROUTER_CONFIG} names; the other variables fill in what it leaves out. */
     public static Settings read(Map<String, String> environment) throws BadConfig {
@@ -61,16 +62,23 @@
         }
         String name = f.text("name", environment.get("ROUTER_NAME"));
         InetSocketAddress listen = needed("listen", f.address("listen", environment.get("ROUTER_LISTEN")));
-        InetSocketAddress discovery =
-                needed("discovery", f.address("discovery", environment.get("ROUTER_DISCOVERY")));
+        InetSocketAddress discovery = needed("discovery", f.address("discovery", environment.get("ROUTER_DISCOVERY")));
         int sockets = f.object("limits").count("sockets", USUAL_SOCKETS, FEWEST_SOCKETS, MOST);
         // The start line has sized the heap by it already; what it could not read is named here, before the listening.
         f.object("limits").atLeast("memory_mb", 1);
         JSONObject known = f.json("known");
         Decisions.Settings module = module(f.object("settings"), f.seed("seed"));
         List<InetSocketAddress> peers = f.addresses("peers");
-        return new Settings(needed("name", name), listen, discovery, f.address("peer_listen", null), peers,
-                f.address("peers_all", null), sockets, known, module);
+        return new Settings(
+                needed("name", name),
+                listen,
+                discovery,
+                f.address("peer_listen", null),
+                peers,
+                f.address("peers_all", null),
+                sockets,
+                known,
+                module);
     }
 
     private static <T> T needed(String field, T value) throws BadConfig {
@@ -87,12 +95,20 @@
             if (!names.add(c.text("name"))) {
                 throw c.bad("name", "names a class that there is already");
             }
-            classes.add(new RequestClass(c.text("name"), c.span("on_time", 0), c.amount("aim_stretch", 0),
+            classes.add(new RequestClass(
+                    c.text("name"),
+                    c.span("on_time", 0),
+                    c.amount("aim_stretch", 0),
                     c.atLeast("hard_limit", 1),
-                    c.choice("effect", Effect.UNSAFE,
+                    c.choice(
+                            "effect",
+                            Effect.UNSAFE,
                             Map.of("retryable", Effect.SAFE, "dedup", Effect.KEYED, "fragile", Effect.UNSAFE)),
                     c.choice("group", Group.CELL, Map.of("all", Group.ALL, "zone", Group.ZONE, "cell", Group.CELL)),
-                    c.span("key_ttl", 0), c.amount("value", 1), c.amount("late_worth", 0), c.flag("streamed")));
+                    c.span("key_ttl", 0),
+                    c.amount("value", 1),
+                    c.amount("late_worth", 0),
+                    c.flag("streamed")));
         }
         List<Tenant> tenants = new ArrayList<>();
         for (Fields t : f.objects("tenants")) {
@@ -104,45 +120,106 @@
         int siblings = f.count("siblings", 1, MOST_BALANCERS);
         int me = f.count("me", 0, siblings - 1);
         try {
-            return new Decisions.Settings(me, siblings, seed, f.text("az", ""),
-                    f.texts("failure_domains"), f.texts("skus"), f.texts("layers"), f.count("layer", 0, 0, MOST), classes,
+            return new Decisions.Settings(
+                    me,
+                    siblings,
+                    seed,
+                    f.text("az", ""),
+                    f.texts("failure_domains"),
+                    f.texts("skus"),
+                    f.texts("layers"),
+                    f.count("layer", 0, 0, MOST),
+                    classes,
                     tenants,
-                    f.choice("membership_mode", Membership.PUSH,
+                    f.choice(
+                            "membership_mode",
+                            Membership.PUSH,
                             Map.of("subscribe", Membership.ASK, "automatic", Membership.PUSH)),
-                    new Origin(extra.choice("mode", Mode.THROUGH, Map.of("aside", Mode.ASIDE, "through", Mode.THROUGH)),
-                            extra.count("origin_kind", -1, -1, MOST), extra.amount("origin_fall_multiple", 0),
+                    new Origin(
+                            extra.choice("mode", Mode.THROUGH, Map.of("aside", Mode.ASIDE, "through", Mode.THROUGH)),
+                            extra.count("origin_kind", -1, -1, MOST),
+                            extra.amount("origin_fall_multiple", 0),
                             extra.span("origin_fall", 0)),
-                    limits(f.object("limits")), rules(f.object("rules")), prices(f.object("prices")),
-                    new Goal(goal.real("whole", 1), goal.real("worst_window", 0), goal.real("worst_class", 0),
+                    limits(f.object("limits")),
+                    rules(f.object("rules")),
+                    prices(f.object("prices")),
+                    new Goal(
+                            goal.real("whole", 1),
+                            goal.real("worst_window", 0),
+                            goal.real("worst_class", 0),
                             goal.real("worst_tenant", 0)),
-                    reports.choice("how", Reports.NONE, Map.of("inline", Reports.WITH_ANSWERS, "on_probe",
-                            Reports.WITH_PROBES, "off", Reports.NONE)),
+                    reports.choice(
+                            "how",
+                            Reports.NONE,
+                            Map.of(
+                                    "inline",
+                                    Reports.WITH_ANSWERS,
+                                    "on_probe",
+                                    Reports.WITH_PROBES,
+                                    "off",
+                                    Reports.NONE)),
                     reports.texts("names"),
-                    f.choice("weights", Weights.NONE, Map.of("nominal", Weights.NOMINAL, "rough", Weights.ROUGH,
-                            "live", Weights.LIVE, "off", Weights.NONE)),
-                    f.text("counted_by", "request").equals("work"), f.amount("over_share_worth", 1),
-                    f.object("client_habits").flag("marks_retry"), f.span("tick", 0));
+                    f.choice(
+                            "weights",
+                            Weights.NONE,
+                            Map.of(
+                                    "nominal",
+                                    Weights.NOMINAL,
+                                    "rough",
+                                    Weights.ROUGH,
+                                    "live",
+                                    Weights.LIVE,
+                                    "off",
+                                    Weights.NONE)),
+                    f.text("counted_by", "request").equals("work"),
+                    f.amount("over_share_worth", 1),
+                    f.object("client_habits").flag("marks_retry"),
+                    f.span("tick", 0));
         } catch (IllegalArgumentException e) {
             throw new BadConfig("config: settings: " + e.getMessage());
         }
     }
 
     private static Limits limits(Fields f) throws BadConfig {
-        return new Limits(f.count("max_attempts", 1, 1, MOST), f.count("open_cap", 0, 0, MOST), f.flag("second_copies"),
-                f.flag("may_cancel"), f.flag("may_probe"), f.flag("may_tell"), f.flag("retry_after"),
-                f.span("max_retry_after", 0), f.span("connect_timeout", 0), f.span("idle_close", 0),
-                f.count("streams_per_conn", 1, 0, MOST), f.amount("cpu_us_per_s", 0), f.amount("cpu_us_per_request", 0));
+        return new Limits(
+                f.count("max_attempts", 1, 1, MOST),
+                f.count("open_cap", 0, 0, MOST),
+                f.flag("second_copies"),
+                f.flag("may_cancel"),
+                f.flag("may_probe"),
+                f.flag("may_tell"),
+                f.flag("retry_after"),
+                f.span("max_retry_after", 0),
+                f.span("connect_timeout", 0),
+                f.span("idle_close", 0),
+                f.count("streams_per_conn", 1, 0, MOST),
+                f.amount("cpu_us_per_s", 0),
+                f.amount("cpu_us_per_request", 0));
     }
 
     private static RuleFigures rules(Fields f) throws BadConfig {
-        return new RuleFigures(f.span("answer_slack", 0), f.span("drain_grace", 0), f.span("ask_within", 0),
-                f.amount("start_capacity", 0), f.span("cold", 0), f.amount("tip_multiple", 0),
+        return new RuleFigures(
+                f.span("answer_slack", 0),
+                f.span("drain_grace", 0),
+                f.span("ask_within", 0),
+                f.amount("start_capacity", 0),
+                f.span("cold", 0),
+                f.amount("tip_multiple", 0),
                 f.span("overload_for", 0));
     }
 
     private static Prices prices(Fields f) throws BadConfig {
-        return new Prices(f.amount("connection", 0), f.amount("cross_zone", 0), f.amount("membership_mode", 0),
-                f.amount("fleet", 0), f.amount("handshake", 0), f.amount("late_fail", 0), f.amount("moves", 0),
-                f.amount("origin", 0), f.amount("peer", 0), f.amount("probe", 0), f.amount("waste", 0));
+        return new Prices(
+                f.amount("connection", 0),
+                f.amount("cross_zone", 0),
+                f.amount("membership_mode", 0),
+                f.amount("fleet", 0),
+                f.amount("handshake", 0),
+                f.amount("late_fail", 0),
+                f.amount("moves", 0),
+                f.amount("origin", 0),
+                f.amount("peer", 0),
+                f.amount("probe", 0),
+                f.amount("waste", 0));
     }
 }
--- a/balancer/src/main/java/baymoor/counters/Counters.java
+++ b/balancer/src/main/java/baymoor/counters/Counters.java
@@ -20,8 +20,14 @@
     public String report() {
         StringBuilder text = new StringBuilder();
         for (Count c : Count.values()) {
-            text.append(c.name().toLowerCase(Locale.ROOT)).append(':').append(get(c)).append('\n');
+            text.append(c.name().toLowerCase(Locale.ROOT))
+                    .append(':')
+                    .append(get(c))
+                    .append('\n');
         }
-        return text.append("invariants_broken:").append(Invariant.broken()).append('\n').toString();
+        return text.append("invariants_broken:")
+                .append(Invariant.broken())
+                .append('\n')
+                .toString();
     }
 }
--- a/balancer/src/main/java/baymoor/counters/Invariant.java
+++ b/balancer/src/main/java/baymoor/counters/Invariant.java
@@ -7,7 +7,7 @@
 
     private static final AtomicLong BROKEN = new AtomicLong();
 
-    private Invariant() { }
+    private Invariant() {}
 
     /** Gives {@code holds} back, so that the caller can go on safely in a release. */
     public static boolean check(boolean holds, String what) {
--- a/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
+++ b/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
@@ -79,8 +79,13 @@
     private Discovery discovery;
     private Peers peers;
 
-    public Dispatcher(Decisions decisions, Decisions.Limits limits, List<RequestClass> kinds, Time time,
-            Counters counters, Consumer<String> log) {
+    public Dispatcher(
+            Decisions decisions,
+            Decisions.Limits limits,
+            List<RequestClass> kinds,
+            Time time,
+            Counters counters,
+            Consumer<String> log) {
         this.decisions = decisions;
         this.limits = limits;
         kinds.forEach(kind -> classes.put(kind.name(), kind));
@@ -102,8 +107,17 @@
         String id = Long.toString(ticket);
         requests.put(id, new Open(ticket, t));
         ids.add(t.id());
-        deliver(new Request(id, t.requestClass(), t.tenant(), true, key(t.key()), t.deadlineMicros(), t.workMicros(),
-                t.size(), t.retry(), t.write()));
+        deliver(new Request(
+                id,
+                t.requestClass(),
+                t.tenant(),
+                true,
+                key(t.key()),
+                t.deadlineMicros(),
+                t.workMicros(),
+                t.size(),
+                t.retry(),
+                t.write()));
     }
 
     /** A key of up to 16 hex digits is the number it writes; any other one is hashed. */
@@ -164,8 +178,8 @@
         if (r.done) {
             finish(r);
         }
-        deliver(new AttemptEnded(request, attempt, host, reply.outcome(), latencyMicros, r.done, reply.note(),
-                reply.report()));
+        deliver(new AttemptEnded(
+                request, attempt, host, reply.outcome(), latencyMicros, r.done, reply.note(), reply.report()));
     }
 
     @Override
@@ -254,8 +268,8 @@
             return;
         }
         long now = time.now();
-        boolean alone = limits.secondCopies()
-                || Invariant.check(r.out == 0, "no two relays of one request are out together");
+        boolean alone =
+                limits.secondCopies() || Invariant.check(r.out == 0, "no two relays of one request are out together");
         int attempt = r.attempts++;
         r.out++;
         if (r.done || !alone || attempt >= limits.maxAttempts() || now >= r.taken.deadlineMicros()) {
@@ -266,7 +280,12 @@
         long most = r.taken.deadlineMicros() - now;
         long wait = a.timeoutMicros() == 0 ? most : Math.max(0, Math.min(most, a.timeoutMicros()));
         Taken t = r.taken;
-        south.send(a.request(), attempt, a.server(), new Parcel(t.key(), t.id(), t.facts(), t.value()), now + wait,
+        south.send(
+                a.request(),
+                attempt,
+                a.server(),
+                new Parcel(t.key(), t.id(), t.facts(), t.value()),
+                now + wait,
                 () -> mayBegin(r));
     }
 
@@ -277,11 +296,13 @@
     private boolean mayBegin(Open r) {
         RequestClass kind = classes.get(r.taken.requestClass());
         boolean ran = r.ranMicros != Long.MAX_VALUE;
-        boolean harmless = !ran || kind != null && switch (kind.effect()) {
-            case SAFE -> true;
-            case KEYED -> time.now() < r.ranMicros + kind.windowMicros();
-            case UNSAFE -> false;
-        };
+        boolean harmless = !ran
+                || kind != null
+                        && switch (kind.effect()) {
+                            case SAFE -> true;
+                            case KEYED -> time.now() < r.ranMicros + kind.windowMicros();
+                            case UNSAFE -> false;
+                        };
         return harmless && !r.done && north.waits(r.ticket);
     }
 
--- a/balancer/src/main/java/baymoor/http/RequestWriter.java
+++ b/balancer/src/main/java/baymoor/http/RequestWriter.java
@@ -8,13 +8,18 @@
 
     private static final String UNRESERVED = "-._~";
 
-    private RequestWriter() { }
+    private RequestWriter() {}
 
     /** A request; {@code body} is null where it has none. Header values must hold no line ends. */
     public static byte[] request(String method, String target, String host, Map<String, String> headers, byte[] body) {
-        StringBuilder head = new StringBuilder(method).append(' ').append(target).append(" HTTP/1.1\r\nHost: ")
-                .append(host).append("\r\n");
-        headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+        StringBuilder head = new StringBuilder(method)
+                .append(' ')
+                .append(target)
+                .append(" HTTP/1.1\r\nHost: ")
+                .append(host)
+                .append("\r\n");
+        headers.forEach(
+                (name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
         if (body != null) {
             head.append("Content-Length: ").append(body.length).append("\r\n");
         }
@@ -32,8 +37,8 @@
     public static String segment(String text) {
         StringBuilder out = new StringBuilder();
         for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
-            boolean plain = b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z'
-                    || UNRESERVED.indexOf(b) >= 0;
+            boolean plain =
+                    b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || UNRESERVED.indexOf(b) >= 0;
             out.append(plain ? String.valueOf((char) b) : String.format("%%%02X", b & 0xff));
         }
         return out.toString();
--- a/balancer/src/main/java/baymoor/http/ResponseReader.java
+++ b/balancer/src/main/java/baymoor/http/ResponseReader.java
@@ -1,7 +1,6 @@
 package baymoor.http;
 
 import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -9,7 +8,17 @@
 /** Takes the bytes of one HTTP/1.1 answer in any pieces. Lines, headers and the body not yet taken are bounded. */
 public final class ResponseReader {
 
-    private enum Part { STATUS, HEADERS, BODY, BODY_TO_END, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, DONE }
+    private enum Part {
+        STATUS,
+        HEADERS,
+        BODY,
+        BODY_TO_END,
+        CHUNK_SIZE,
+        CHUNK,
+        CHUNK_END,
+        TRAILER,
+        DONE
+    }
 
     private static final int LONGEST_LINE = 8192;
     private static final int MOST_HEADERS = 100;
@@ -81,7 +90,9 @@
 
     /** Whether the connection may carry another request after this answer. */
     public boolean reusable() {
-        return whole() && !"close".equalsIgnoreCase(header("connection")) && status >= FINAL
+        return whole()
+                && !"close".equalsIgnoreCase(header("connection"))
+                && status >= FINAL
                 && (sized() || status == NO_CONTENT || status == NOT_MODIFIED);
     }
 
--- a/balancer/src/main/java/baymoor/inventory/Discovery.java
+++ b/balancer/src/main/java/baymoor/inventory/Discovery.java
@@ -38,9 +38,11 @@
      * reached, whatever became of a call; this, the silence before it and the decisions' first pause leave a second for the answer.
      */
     private static final long SECOND_CALL_MICROS = 2_000_000;
+
     private static final int MOST_CALLS = 2;
     /** Guards against a cut link, on which a watch just falls silent: an empty line is due every 2 s. */
     private static final long SILENCE_MICROS = 2_500_000;
+
     private static final int LONGEST_BODY = 1 << 20;
     private static final int OK = 200;
     /**
@@ -48,9 +50,11 @@
      * after a failure.
      */
     private static final long MOVE_AGAIN_MICROS = 300_000;
+
     private static final int MOST_MOVES = 20;
     /** A watch for good that ends sooner is no sign that the next one holds: the pause before it doubles from this on. */
     private static final long STEADY_MICROS = 1_000_000;
+
     private static final long FIRST_PAUSE_MICROS = 10_000;
 
     private InetSocketAddress address;
@@ -61,10 +65,12 @@
     private final Consumer<ServerList> events;
     /** The watch that has answered, if any, and calls for another, the oldest first. */
     private Call watch;
+
     private final List<Call> calls = new ArrayList<>();
     private long lastCallMicros;
     /** Whether a watch was ordered, however it stands with it. */
     private boolean ordered;
+
     private Call asked;
     private Time.Timer nextTry;
     private Time.Timer secondCall;
@@ -72,10 +78,16 @@
     private int moves;
     /** The longest pause of a watch for good, 0 where watches are ordered; and the present one. */
     private long longestPauseMicros;
+
     private long pauseMicros;
     private Time.Timer askAgain;
 
-    public Discovery(InetSocketAddress address, Dialer dialer, Time time, Inventory inventory, Counters counters,
+    public Discovery(
+            InetSocketAddress address,
+            Dialer dialer,
+            Time time,
+            Inventory inventory,
+            Counters counters,
             Consumer<ServerList> events) {
         this.address = address;
         this.dialer = dialer;
@@ -242,6 +254,7 @@
         private boolean answered;
         /** Nothing came for too long, and that was told. */
         private boolean silent;
+
         private boolean over;
 
         Call(String target, boolean watching) {
--- a/balancer/src/main/java/baymoor/inventory/Inventory.java
+++ b/balancer/src/main/java/baymoor/inventory/Inventory.java
@@ -29,7 +29,7 @@
 public final class Inventory {
 
     /** A listed host, as south needs it. */
-    public record Entry(long id, InetSocketAddress address, String kind, State state) { }
+    public record Entry(long id, InetSocketAddress address, String kind, State state) {}
 
     private static final int LONGEST_NAME = 256;
     /** Older whole lists in a row, with nothing newer between, after which the service itself has begun anew. */
@@ -157,8 +157,13 @@
             default -> throw new JSONException("unknown status");
         };
         long since = e.optLong("since_ms", 0);
-        return new Server(id(e.getString("name")), e.optDouble("weight", 1), e.optString("type", ""), state,
-                e.optString("zone", ""), since <= 0 ? 0 : Math.max(0, sinceMillisToMicros.applyAsLong(since)),
+        return new Server(
+                id(e.getString("name")),
+                e.optDouble("weight", 1),
+                e.optString("type", ""),
+                state,
+                e.optString("zone", ""),
+                since <= 0 ? 0 : Math.max(0, sinceMillisToMicros.applyAsLong(since)),
                 e.optInt("group", 0));
     }
 
--- a/balancer/src/main/java/baymoor/inventory/ListLines.java
+++ b/balancer/src/main/java/baymoor/inventory/ListLines.java
@@ -27,6 +27,7 @@
     private final ByteArrayOutputStream object = new ByteArrayOutputStream();
     /** Where the present line of the object begins. */
     private int line;
+
     private int depth;
     private boolean quoted;
     private boolean escaped;
--- a/balancer/src/main/java/baymoor/link/Address.java
+++ b/balancer/src/main/java/baymoor/link/Address.java
@@ -10,7 +10,7 @@
     private static final int HIGHEST_PORT = 65535;
     private static final String FIGURES = "[0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:.]+\\]";
 
-    private Address() { }
+    private Address() {}
 
     /** An address in figures with a port, or null; names are not looked up, since there is no DNS. */
     public static InetSocketAddress parse(String text) {
--- a/balancer/src/main/java/baymoor/link/LinkEvents.java
+++ b/balancer/src/main/java/baymoor/link/LinkEvents.java
@@ -13,7 +13,7 @@
     void written();
 
     /** This side's output has ended, as {@link Link#finish} had it; nothing more is received. */
-    default void finished() { }
+    default void finished() {}
 
     /** The connection is over, or never came up. Nothing follows. */
     void closed();
--- a/balancer/src/main/java/baymoor/net/DecisionThread.java
+++ b/balancer/src/main/java/baymoor/net/DecisionThread.java
@@ -26,6 +26,7 @@
     private final ArrayDeque<Posted> posted = new ArrayDeque<>();
     /** What was taken over from there. */
     private final ArrayDeque<Posted> queue = new ArrayDeque<>();
+
     private final PriorityQueue<Due> timers = new PriorityQueue<>();
     private final long startNanos = System.nanoTime();
     private final Counters counters;
@@ -35,6 +36,7 @@
     private long came = ORIGIN_MICROS;
     /** When this thread means to look at the clock next. */
     private long meant = Long.MAX_VALUE;
+
     private long sequence;
     private volatile boolean stopped;
 
@@ -44,7 +46,7 @@
     }
 
     /** What the drivers handed in, and when. */
-    private record Posted(long atMicros, Runnable task) { }
+    private record Posted(long atMicros, Runnable task) {}
 
     private static final class Due implements Timer, Comparable<Due> {
         final long atMicros;
@@ -104,7 +106,7 @@
     /** Lets {@link #run} return after the present task. */
     public void stop() {
         stopped = true;
-        post(() -> { });
+        post(() -> {});
     }
 
     @Override
--- a/balancer/src/main/java/baymoor/net/HalfClose.java
+++ b/balancer/src/main/java/baymoor/net/HalfClose.java
@@ -12,7 +12,7 @@
 
     private static final Field CHANNEL = channel();
 
-    private HalfClose() { }
+    private HalfClose() {}
 
     private static Field channel() {
         try {
--- a/balancer/src/main/java/baymoor/net/MinaLink.java
+++ b/balancer/src/main/java/baymoor/net/MinaLink.java
@@ -18,6 +18,7 @@
     private static final int MOST_UNTOLD = 128 * 1024;
     /** Who sends on so much after this side's end has gone out is cut off. */
     private static final int MOST_DROPPED = 64 * 1024;
+
     private static final int IN_ANY_CASE = -1;
 
     private final DecisionThread thread;
@@ -30,13 +31,16 @@
     private volatile boolean ended;
     /** Reads that the driver's one thread has made, and those of them that were told. */
     private int reads;
+
     private int readsTold;
     /** Driver's thread: this side's output has ended, and what came in since. */
     private boolean finished;
+
     private int dropped;
     private final AtomicInteger untold = new AtomicInteger();
     /** Whether the state machine wants bytes, and whether the decision thread keeps up with them. */
     private boolean wanted = true;
+
     private boolean behind;
 
     MinaLink(DecisionThread thread) {
--- a/balancer/src/main/java/baymoor/net/MinaNet.java
+++ b/balancer/src/main/java/baymoor/net/MinaNet.java
@@ -53,6 +53,7 @@
     private final Map<SocketAddress, Function<Link, LinkEvents>> listeners = new ConcurrentHashMap<>();
     /** Who takes a connection at whatever address, while there is one listener only. */
     private volatile Function<Link, LinkEvents> anyone;
+
     private NioDatagramAcceptor datagrams;
     private InetSocketAddress peerAddress;
 
--- a/balancer/src/main/java/baymoor/north/Facts.java
+++ b/balancer/src/main/java/baymoor/north/Facts.java
@@ -13,6 +13,7 @@
     private static final int LONGEST_LIST = 2048;
     /** What is written as a number elsewhere too; Java alone also reads 0x1p3 and 480d as numbers. */
     private static final Pattern NUMBER = Pattern.compile("-?[0-9]{1,18}(\\.[0-9]{1,18})?([eE][-+]?[0-9]{1,3})?");
+
     private static final double LONGEST_MILLIS = 3_600_000;
     /** The client's clock started when it sent, its answer has to travel too: both ways' time at the least. */
     private static final long TRAVEL_MICROS = 2_000;
@@ -26,10 +27,9 @@
         }
     }
 
-    private Facts() { }
+    private Facts() {}
 
-    static Taken read(byte[] key, byte[] id, byte[] list, byte[] value, Set<String> classes, long now)
-            throws Refused {
+    static Taken read(byte[] key, byte[] id, byte[] list, byte[] value, Set<String> classes, long now) throws Refused {
         Map<String, String> facts = facts(list);
         String requestClass = facts.get("c");
         if (requestClass == null || !classes.contains(requestClass)) {
@@ -40,9 +40,17 @@
             throw new Refused("d is missing or out of range");
         }
         double hint = number(facts, "h", 0);
-        return new Taken(word(id, "id"), word(key, "key"), requestClass, facts.getOrDefault("t", ""), value, facts,
-                now + (long) (waits * 1000) - TRAVEL_MICROS, Math.max(0, (long) hint),
-                Math.max(0, number(facts, "size", 0)), "1".equals(facts.get("r")));
+        return new Taken(
+                word(id, "id"),
+                word(key, "key"),
+                requestClass,
+                facts.getOrDefault("t", ""),
+                value,
+                facts,
+                now + (long) (waits * 1000) - TRAVEL_MICROS,
+                Math.max(0, (long) hint),
+                Math.max(0, number(facts, "size", 0)),
+                "1".equals(facts.get("r")));
     }
 
     private static Map<String, String> facts(byte[] list) throws Refused {
--- a/balancer/src/main/java/baymoor/north/North.java
+++ b/balancer/src/main/java/baymoor/north/North.java
@@ -19,9 +19,11 @@
 
     /** An answer later than this after the deadline would break a rule: then the request fails, whoever slept. */
     private static final long OVERDUE_MICROS = 10_000;
+
     private static final long LOOK_MICROS = 250_000;
     /** Clients hold up to a third of all descriptors, two thirds of the bound here: half of that is room for all. */
     private static final int ROOMY_PERCENT = 30;
+
     private static final long RESTING_MICROS = 100_000;
     /** Connections past the bound that are told to come back; a crowd past these is closed unheard. */
     private static final int MOST_EXTRA = 8;
@@ -45,6 +47,7 @@
     private final Set<RespClient> evicted = new LinkedHashSet<>();
     /** Connections without anything owed, in the order in which the last answer left. */
     private final Set<RespClient> resting = new LinkedHashSet<>();
+
     private long tickets;
     private boolean draining;
 
@@ -55,8 +58,15 @@
      * @param mostValueBytes past so many bytes of the values of open writes the next ones are turned away
      * @param report      the counters as text
      */
-    public North(Time time, Counters counters, Set<String> classes, Intake intake, int mostClients,
-            int mostOwed, long mostValueBytes, Supplier<String> report) {
+    public North(
+            Time time,
+            Counters counters,
+            Set<String> classes,
+            Intake intake,
+            int mostClients,
+            int mostOwed,
+            long mostValueBytes,
+            Supplier<String> report) {
         this.time = time;
         this.counters = counters;
         this.classes = Set.copyOf(classes);
@@ -150,7 +160,9 @@
      * of clients at work would have gone. Then what has been quiet longest, which a client may expect between requests.
      */
     private void makeRoom(RespClient newest) {
-        clients.stream().filter(RespClient::silent).findFirst()
+        clients.stream()
+                .filter(RespClient::silent)
+                .findFirst()
                 .or(() -> clients.stream().filter(c -> c.spoken() && c.quiet()).findFirst())
                 .or(() -> clients.stream().filter(c -> c != newest && c.quiet()).findFirst())
                 .ifPresentOrElse(this::evict, () -> {
@@ -173,8 +185,7 @@
      * must not take more memory than there is.
      */
     boolean full(Taken request) {
-        boolean full = owed.size() >= mostOwed
-                || valueBytes + length(request) > mostValueBytes;
+        boolean full = owed.size() >= mostOwed || valueBytes + length(request) > mostValueBytes;
         if (full) {
             counters.add(Count.TURNED_AWAY);
         }
@@ -228,8 +239,10 @@
         }
         valueBytes -= o.bytes;
         o.overdue.cancel();
-        counters.add(answer instanceof Answer.Served ? Count.SERVED
-                : answer instanceof Answer.BackOff ? Count.REFUSED : Count.FAILED);
+        counters.add(
+                answer instanceof Answer.Served
+                        ? Count.SERVED
+                        : answer instanceof Answer.BackOff ? Count.REFUSED : Count.FAILED);
         o.client.answer(o, answer);
         return true;
     }
--- a/balancer/src/main/java/baymoor/north/RespClient.java
+++ b/balancer/src/main/java/baymoor/north/RespClient.java
@@ -26,15 +26,19 @@
     private static final long SILENT_MICROS = 300_000;
     /** Between requests a connection may go after 2 s; while there is room it stays longer. */
     private static final long CROWDED_IDLE_MICROS = 2_000_000;
+
     private static final long IDLE_MICROS = 15_000_000;
     /** Who takes nothing of its answers for so long, or does not end a connection that is over, is cut off. */
     private static final long STUCK_MICROS = 5_000_000;
+
     private static final long PARTING_MICROS = 1_000_000;
     /** Past so many answers that are owed here, commands are turned away unread, with the first of that row of refusals. */
     private static final int MOST_OWED = 128;
+
     private static final int MOST_UNWRITTEN = 16;
     /** Refusals written at once. */
     private static final int MOST_TOGETHER = 1024;
+
     private static final long COME_BACK_MICROS = 1_000_000;
     private static final int GET_WORDS = 4;
     private static final int SET_WORDS = 5;
@@ -51,6 +55,7 @@
     private boolean stopped;
     /** It is to end unless something comes in before that; and it has ended on this side. */
     private boolean leaving;
+
     private boolean finished;
     private boolean paused;
     private boolean spoken;
@@ -100,7 +105,8 @@
     void look(boolean crowded) {
         long now = north.time.now();
         boolean half = !stopped && !leaving && !paused && !link.unread() && (!spoken || reader.pending());
-        if (stopped || leaving ? row.isEmpty() && now - movedMicros > PARTING_MICROS
+        if (stopped || leaving
+                ? row.isEmpty() && now - movedMicros > PARTING_MICROS
                 : unwritten > 0 && now - movedMicros > STUCK_MICROS) {
             north.counters.add(Count.CLIENTS_STUCK);
             link.close();
@@ -109,7 +115,10 @@
             end(RespWriter.error("ERR no whole command in time"));
         } else if (north.draining() && quiet() && silent()) {
             leave();
-        } else if (quiet() && !stopped && !leaving && now - movedMicros > (crowded ? CROWDED_IDLE_MICROS : IDLE_MICROS)) {
+        } else if (quiet()
+                && !stopped
+                && !leaving
+                && now - movedMicros > (crowded ? CROWDED_IDLE_MICROS : IDLE_MICROS)) {
             north.counters.add(Count.CLIENTS_IDLE);
             leave();
         }
@@ -179,7 +188,8 @@
 
     @Override
     public void received(byte[] bytes) {
-        // Danger: what a client that has left sent before that would still be sent on, after a hold-up long after it left.
+        // Danger: what a client that has left sent before that would still be sent on, after a hold-up long after it
+        // left.
         if (stopped || link.over()) {
             return;
         }
@@ -207,7 +217,10 @@
                     turnAway();
                     continue;
                 }
-                take(((Resp.Many) command).items().stream().map(word -> ((Resp.Bulk) word).bytes()).toList());
+                take(((Resp.Many) command)
+                        .items().stream()
+                                .map(word -> ((Resp.Bulk) word).bytes())
+                                .toList());
             }
         } catch (RespException e) {
             north.counters.add(Count.COMMANDS_BAD);
@@ -298,9 +311,11 @@
     }
 
     void answer(Owed owed, Answer answer) {
-        owed.answer = answer instanceof Answer.Served served ? RespWriter.bulk(served.value())
-                : answer instanceof Answer.BackOff wait ? RespWriter.error(busy(wait.afterMicros()))
-                : RespWriter.error("ERR failed");
+        owed.answer = answer instanceof Answer.Served served
+                ? RespWriter.bulk(served.value())
+                : answer instanceof Answer.BackOff wait
+                        ? RespWriter.error(busy(wait.afterMicros()))
+                        : RespWriter.error("ERR failed");
         flush();
     }
 
--- a/balancer/src/main/java/baymoor/peers/Peers.java
+++ b/balancer/src/main/java/baymoor/peers/Peers.java
@@ -31,8 +31,13 @@
      * @param self     this balancer's own address among them, or null
      * @param everyone the address that reaches all, or null where each has to be told by itself
      */
-    public Peers(List<InetSocketAddress> addresses, InetSocketAddress self, InetSocketAddress everyone, PeerLink link,
-            Counters counters, Heard heard) {
+    public Peers(
+            List<InetSocketAddress> addresses,
+            InetSocketAddress self,
+            InetSocketAddress everyone,
+            PeerLink link,
+            Counters counters,
+            Heard heard) {
         this.self = self;
         this.addresses = List.copyOf(addresses);
         for (int i = 0; i < addresses.size(); i++) {
--- a/balancer/src/main/java/baymoor/resp/RespReader.java
+++ b/balancer/src/main/java/baymoor/resp/RespReader.java
@@ -10,9 +10,11 @@
 
     /** The longest value that the protocol allows. */
     public static final int LONGEST_BULK = 64 * 1024;
+
     private static final int LONGEST_LINE = 1024;
     /** Guards against noise behind a sign that promises a number: waiting on for its end would cost the request. */
     private static final int LONGEST_NUMBER = 24;
+
     private static final int MOST_ITEMS = 64;
     private static final int DEEPEST = 3;
     private static final int LONGEST_MESSAGE = LONGEST_BULK + 16 * 1024;
--- a/balancer/src/main/java/baymoor/resp/RespWriter.java
+++ b/balancer/src/main/java/baymoor/resp/RespWriter.java
@@ -8,7 +8,7 @@
 
     private static final byte[] END = {'\r', '\n'};
 
-    private RespWriter() { }
+    private RespWriter() {}
 
     /** A command: an array of bulk strings. */
     public static byte[] command(byte[]... words) {
--- a/balancer/src/main/java/baymoor/serve/Balancer.java
+++ b/balancer/src/main/java/baymoor/serve/Balancer.java
@@ -16,6 +16,7 @@
 
     /** Of the heap, so that it bears what else there is beside the values of writes. */
     private static final int VALUES_PART = 6;
+
     private static final long DRAIN_GRACE_MICROS = 600_000;
 
     private final Settings settings;
@@ -35,9 +36,16 @@
         thread = new DecisionThread(counters, log);
         net = new MinaNet(thread, Assembly.mostAccepted(settings));
         long clocksApart = thread.read() - System.currentTimeMillis() * 1000;
-        parts = new Assembly(settings, new Assembly.Surroundings(thread, net, net,
-                sinceMillis -> sinceMillis * 1000 + clocksApart, Runtime.getRuntime().maxMemory() / VALUES_PART,
-                counters, log));
+        parts = new Assembly(
+                settings,
+                new Assembly.Surroundings(
+                        thread,
+                        net,
+                        net,
+                        sinceMillis -> sinceMillis * 1000 + clocksApart,
+                        Runtime.getRuntime().maxMemory() / VALUES_PART,
+                        counters,
+                        log));
     }
 
     /** Returns once it listens, or was told to end before that. */
@@ -70,8 +78,8 @@
                 return;
             }
         }
-        thread.post(() -> parts.drain(() -> new Thread(net::stopListening, "stop-listening").start(),
-                ended::countDown));
+        thread.post(() ->
+                parts.drain(() -> new Thread(net::stopListening, "stop-listening").start(), ended::countDown));
         try {
             ended.await(parts.mostDrainMicros() + DRAIN_GRACE_MICROS, TimeUnit.MICROSECONDS);
         } catch (InterruptedException e) {
--- a/balancer/src/main/java/baymoor/serve/Hangup.java
+++ b/balancer/src/main/java/baymoor/serve/Hangup.java
@@ -8,14 +8,14 @@
  */
 final class Hangup {
 
-    private Hangup() { }
+    private Hangup() {}
 
     /** Runs a task, on a thread of the JVM's, each time the signal comes. */
     static void handle(Runnable task) throws ReflectiveOperationException {
         Class<?> signal = Class.forName("sun.misc.Signal");
         Class<?> handler = Class.forName("sun.misc.SignalHandler");
-        Object calls = Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler},
-                (proxy, method, arguments) -> {
+        Object calls = Proxy.newProxyInstance(
+                Hangup.class.getClassLoader(), new Class<?>[] {handler}, (proxy, method, arguments) -> {
                     if (method.getName().equals("handle")) {
                         task.run();
                     }
--- a/balancer/src/main/java/baymoor/serve/Log.java
+++ b/balancer/src/main/java/baymoor/serve/Log.java
@@ -37,7 +37,10 @@
         int colon = line.indexOf(": ");
         boolean named = colon > 0 && line.substring(0, colon).chars().allMatch(c -> c >= 'a' && c <= 'z' || c == ' ');
         String event = named ? line.substring(0, colon).replace(' ', '-') : "note";
-        event(event.endsWith("failed") ? "WARN" : "INFO", event, Map.of("detail", named ? line.substring(colon + 2) : line));
+        event(
+                event.endsWith("failed") ? "WARN" : "INFO",
+                event,
+                Map.of("detail", named ? line.substring(colon + 2) : line));
     }
 
     /**
@@ -45,8 +48,9 @@
      * of the first busy second, on the decision thread; a date's own text needs none of them and takes 1 ms.
      */
     private static String time(long millis) {
-        String text = LocalDateTime.ofEpochSecond(Math.floorDiv(millis, 1000L),
-                Math.floorMod(millis, 1000) * 1_000_000, ZoneOffset.UTC).toString();
+        String text = LocalDateTime.ofEpochSecond(
+                        Math.floorDiv(millis, 1000L), Math.floorMod(millis, 1000) * 1_000_000, ZoneOffset.UTC)
+                .toString();
         String whole = text.length() == "2026-01-02T03:04".length() ? text + ":00" : text;
         return whole.indexOf('.') < 0 ? whole + ".000Z" : whole + "Z";
     }
@@ -56,15 +60,28 @@
         String time = time(clock.millis());
         StringBuilder line = new StringBuilder();
         if (json) {
-            line.append("{\"time\":").append(JSONObject.quote(time)).append(",\"level\":\"").append(level)
-                    .append("\",\"instance\":").append(JSONObject.quote(instance)).append(",\"event\":")
+            line.append("{\"time\":")
+                    .append(JSONObject.quote(time))
+                    .append(",\"level\":\"")
+                    .append(level)
+                    .append("\",\"instance\":")
+                    .append(JSONObject.quote(instance))
+                    .append(",\"event\":")
                     .append(JSONObject.quote(event));
-            values.forEach((name, value) -> line.append(',').append(JSONObject.quote(name)).append(':')
-                    .append(JSONObject.quote(value)));
+            values.forEach((name, value) ->
+                    line.append(',').append(JSONObject.quote(name)).append(':').append(JSONObject.quote(value)));
             line.append('}');
         } else {
-            line.append(time).append(' ').append(level).append(' ').append(instance).append(' ').append(event);
-            values.forEach((name, value) -> line.append(' ').append(name).append('=')
+            line.append(time)
+                    .append(' ')
+                    .append(level)
+                    .append(' ')
+                    .append(instance)
+                    .append(' ')
+                    .append(event);
+            values.forEach((name, value) -> line.append(' ')
+                    .append(name)
+                    .append('=')
                     .append(value.indexOf(' ') < 0 ? value : JSONObject.quote(value)));
         }
         out.println(line);
--- a/balancer/src/main/java/baymoor/serve/Main.java
+++ b/balancer/src/main/java/baymoor/serve/Main.java
@@ -18,7 +18,7 @@
     private static final int CANNOT_START = 1;
     private static final int REHEARSED = 250;
 
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] args) {
         boolean rehearse = args.length == 1 && args[0].equals("rehearse");
--- a/balancer/src/main/java/baymoor/serve/Rehearsal.java
+++ b/balancer/src/main/java/baymoor/serve/Rehearsal.java
@@ -35,12 +35,13 @@
     private static final long MOST_VALUE_BYTES = 1 << 20;
     /** One in so many is a miss, and one a write of each kind: what goes to the origin is paced. */
     private static final int VARIETY = 32;
+
     private static final long END_MILLIS = 1_000;
     private static final byte[] HIT = RespWriter.ascii("*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n");
     private static final byte[] MISS = RespWriter.ascii("*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n");
     private static final byte[] FETCHED = RespWriter.ascii("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue");
 
-    private final DecisionThread thread = new DecisionThread(new Counters(), line -> { });
+    private final DecisionThread thread = new DecisionThread(new Counters(), line -> {});
     private final CountDownLatch played;
     private final Decisions.Settings module;
     private final North north;
@@ -51,24 +52,47 @@
         played = new CountDownLatch(requests);
         Counters counters = new Counters();
         Inventory inventory = new Inventory(millis -> millis, counters);
-        Dispatcher dispatcher = new Dispatcher(Decisions.start(module), module.limits(), module.classes(), thread,
-                counters, line -> { });
-        north = new North(thread, counters, module.classes().stream().map(Decisions.RequestClass::name)
-                .collect(Collectors.toSet()), dispatcher, CLIENTS, CLIENTS, MOST_VALUE_BYTES, counters::report);
+        Dispatcher dispatcher = new Dispatcher(
+                Decisions.start(module), module.limits(), module.classes(), thread, counters, line -> {});
+        north = new North(
+                thread,
+                counters,
+                module.classes().stream().map(Decisions.RequestClass::name).collect(Collectors.toSet()),
+                dispatcher,
+                CLIENTS,
+                CLIENTS,
+                MOST_VALUE_BYTES,
+                counters::report);
         int kind = module.origin().kind();
-        String origin = kind >= 0 && kind < module.kinds().size() ? module.kinds().get(kind) : "";
-        South south = new South((to, events) -> new Host(events), thread, counters, inventory::entry, origin, List.of(),
-                module.limits(), REST_LANES, dispatcher);
-        dispatcher.connect(north, south, null, new Peers(List.of(), null, null, (to, content) -> { }, counters,
-                dispatcher::heard));
-        String other = module.kinds().stream().filter(k -> !k.equals(origin)).findFirst().orElse("");
+        String origin =
+                kind >= 0 && kind < module.kinds().size() ? module.kinds().get(kind) : "";
+        South south = new South(
+                (to, events) -> new Host(events),
+                thread,
+                counters,
+                inventory::entry,
+                origin,
+                List.of(),
+                module.limits(),
+                REST_LANES,
+                dispatcher);
+        dispatcher.connect(
+                north, south, null, new Peers(List.of(), null, null, (to, content) -> {}, counters, dispatcher::heard));
+        String other = module.kinds().stream()
+                .filter(k -> !k.equals(origin))
+                .findFirst()
+                .orElse("");
         thread.post(() -> dispatcher.listed(inventory.known(new JSONObject("{\"index\":1,\"endpoints\":["
                 + entry("a", other) + "," + entry("b", other) + "," + entry("o", origin) + "]}"))));
     }
 
     private static String entry(String name, String type) {
-        return new JSONObject().put("name", name).put("address", "127.0.0.1:1").put("type", type)
-                .put("status", "in_service").toString();
+        return new JSONObject()
+                .put("name", name)
+                .put("address", "127.0.0.1:1")
+                .put("type", type)
+                .put("status", "in_service")
+                .toString();
     }
 
     /** Plays so many requests, or for a second; gives whether all were answered. */
@@ -119,10 +143,10 @@
             }
 
             @Override
-            public void written() { }
+            public void written() {}
 
             @Override
-            public void closed() { }
+            public void closed() {}
         });
         await(heard);
         net.stopListening();
@@ -165,7 +189,7 @@
         }
 
         @Override
-        public void reading(boolean on) { }
+        public void reading(boolean on) {}
     }
 
     private final class Host extends Stub {
@@ -189,13 +213,15 @@
         void ask() {
             asked++;
             int odd = asked % VARIETY;
-            Decisions.RequestClass kind = module.classes().get(odd < module.classes().size() ? odd : 0);
+            Decisions.RequestClass kind =
+                    module.classes().get(odd < module.classes().size() ? odd : 0);
             boolean write = kind.effect() != Decisions.Effect.SAFE;
             byte[] name = RespWriter.ascii(write ? "OBJ.SET" : "OBJ.GET");
             byte[] key = RespWriter.ascii(Integer.toHexString(asked % 100));
             byte[] id = RespWriter.ascii("rehearsal-" + asked);
             byte[] facts = RespWriter.ascii("c=" + kind.name() + ",t=rehearsal,d=" + END_MILLIS + ",h=100,size=2.5");
-            byte[] command = write ? RespWriter.command(name, key, id, facts, "value".getBytes(StandardCharsets.US_ASCII))
+            byte[] command = write
+                    ? RespWriter.command(name, key, id, facts, "value".getBytes(StandardCharsets.US_ASCII))
                     : RespWriter.command(name, key, id, facts);
             thread.post(() -> events.received(command));
         }
--- a/balancer/src/main/java/baymoor/south/Host.java
+++ b/balancer/src/main/java/baymoor/south/Host.java
@@ -10,6 +10,7 @@
     InetSocketAddress address;
     /** Idle connections, the one used last at the end: that one is taken first, so that the others may age and go. */
     final Deque<Lane> idle = new ArrayDeque<>();
+
     final Deque<Relay> waiting = new ArrayDeque<>();
     int lanes;
     private final South south;
--- a/balancer/src/main/java/baymoor/south/Lane.java
+++ b/balancer/src/main/java/baymoor/south/Lane.java
@@ -19,6 +19,7 @@
      * comes meanwhile closes it. Answers take ten times that, so few more connections are held.
      */
     private static final long REST_MICROS = 20_000;
+
     private final South south;
     private final Host host;
     private final Codec codec;
@@ -170,8 +171,14 @@
             // leave while the connection is being given up, and its word comes before the word of the close, so this
             // is judged here and not when the time-out fell due.
             Outcome broke = ending == null ? Outcome.RESET : ending;
-            south.end(broken, end != null ? end : Reply.without(written || broke == Outcome.CANCELLED
-                    || broke == Outcome.ERROR ? broke : Outcome.NOT_CONNECTED));
+            south.end(
+                    broken,
+                    end != null
+                            ? end
+                            : Reply.without(
+                                    written || broke == Outcome.CANCELLED || broke == Outcome.ERROR
+                                            ? broke
+                                            : Outcome.NOT_CONNECTED));
         }
         south.serveWaiting();
     }
--- a/balancer/src/main/java/baymoor/south/LoadReport.java
+++ b/balancer/src/main/java/baymoor/south/LoadReport.java
@@ -9,7 +9,7 @@
 
     private static final double[] NONE = new double[0];
 
-    private LoadReport() { }
+    private LoadReport() {}
 
     static double[] parse(String text, List<String> fields) {
         if (text == null || text.isBlank() || fields.isEmpty()) {
@@ -22,7 +22,9 @@
             } else {
                 for (String pair : text.split(",")) {
                     int equals = pair.indexOf('=');
-                    values.put(pair.substring(0, Math.max(0, equals)).trim(), pair.substring(equals + 1).trim());
+                    values.put(
+                            pair.substring(0, Math.max(0, equals)).trim(),
+                            pair.substring(equals + 1).trim());
                 }
             }
             double[] report = new double[fields.size()];
--- a/balancer/src/main/java/baymoor/south/OriginCodec.java
+++ b/balancer/src/main/java/baymoor/south/OriginCodec.java
@@ -63,9 +63,14 @@
                 && (answer.status() == UNAVAILABLE || answer.status() == TOO_LATE);
         // Without that header a 503 promises nothing: it may have run, like a 500.
         // A 200 that doesn't say how long it is can't be told from one cut short.
-        Outcome outcome = answer.status() == OK && answer.sized() ? Outcome.SERVED : untouched ? Outcome.FULL : Outcome.ERROR;
+        Outcome outcome =
+                answer.status() == OK && answer.sized() ? Outcome.SERVED : untouched ? Outcome.FULL : Outcome.ERROR;
         byte[] value = answer.takeBody();
-        return new Reply(outcome, outcome == Outcome.SERVED ? value : null, 0,
-                LoadReport.parse(answer.header("x-backend-load"), reportFields), clean && answer.reusable());
+        return new Reply(
+                outcome,
+                outcome == Outcome.SERVED ? value : null,
+                0,
+                LoadReport.parse(answer.header("x-backend-load"), reportFields),
+                clean && answer.reusable());
     }
 }
--- a/balancer/src/main/java/baymoor/south/Parcel.java
+++ b/balancer/src/main/java/baymoor/south/Parcel.java
@@ -18,6 +18,8 @@
     String factsOnWire(long waitMillis) {
         Map<String, String> told = new LinkedHashMap<>(facts);
         told.put(DEADLINE, Long.toString(waitMillis));
-        return told.entrySet().stream().map(fact -> fact.getKey() + "=" + fact.getValue()).collect(Collectors.joining(","));
+        return told.entrySet().stream()
+                .map(fact -> fact.getKey() + "=" + fact.getValue())
+                .collect(Collectors.joining(","));
     }
 }
--- a/balancer/src/main/java/baymoor/south/Relay.java
+++ b/balancer/src/main/java/baymoor/south/Relay.java
@@ -20,7 +20,13 @@
      * @param parcel null for a probe
      * @param wanted whether it may still begin, as far as the request goes
      */
-    Relay(String request, int attempt, Host host, Parcel parcel, long startedMicros, long untilMicros,
+    Relay(
+            String request,
+            int attempt,
+            Host host,
+            Parcel parcel,
+            long startedMicros,
+            long untilMicros,
             BooleanSupplier wanted) {
         this.wanted = wanted;
         this.request = request;
--- a/balancer/src/main/java/baymoor/south/RouterCodec.java
+++ b/balancer/src/main/java/baymoor/south/RouterCodec.java
@@ -34,14 +34,16 @@
         byte[] key = RespWriter.ascii(parcel.key());
         byte[] id = RespWriter.ascii(parcel.id());
         byte[] list = RespWriter.ascii(parcel.factsOnWire(waitMillis));
-        return parcel.value() == null ? RespWriter.command(RespWriter.ascii("OBJ.GET"), key, id, list)
+        return parcel.value() == null
+                ? RespWriter.command(RespWriter.ascii("OBJ.GET"), key, id, list)
                 : RespWriter.command(RespWriter.ascii("OBJ.SET"), key, id, list, parcel.value());
     }
 
     @Override
     public byte[] probe() {
         probing = true;
-        return reportFields.isEmpty() ? RespWriter.command(RespWriter.ascii("PING"))
+        return reportFields.isEmpty()
+                ? RespWriter.command(RespWriter.ascii("PING"))
                 : RespWriter.command(RespWriter.ascii("INFO"), RespWriter.ascii("load"));
     }
 
@@ -68,17 +70,21 @@
 
     /** Value or receipt, how it went, load report; null if it is anything else. */
     private Reply relayed(Resp answer, boolean clean) {
-        if (!(answer instanceof Resp.Many many) || many.items() == null || many.items().size() != ANSWER_ITEMS
+        if (!(answer instanceof Resp.Many many)
+                || many.items() == null
+                || many.items().size() != ANSWER_ITEMS
                 || !(many.items().get(0) instanceof Resp.Bulk value)
                 || !(many.items().get(1) instanceof Resp.Bulk how)) {
             return null;
         }
-        int note = how.bytes() == null ? 0 : switch (text(how)) {
-            case "hit" -> 1;
-            case "miss" -> 2;
-            case "pending" -> 3;
-            default -> 0;
-        };
+        int note = how.bytes() == null
+                ? 0
+                : switch (text(how)) {
+                    case "hit" -> 1;
+                    case "miss" -> 2;
+                    case "pending" -> 3;
+                    default -> 0;
+                };
         // A load report that can't be read says nothing against the value that came with it.
         double[] report = many.items().get(2) instanceof Resp.Bulk b ? LoadReport.parse(text(b), reportFields) : NONE;
         return new Reply(value.bytes() == null ? Outcome.MISS : Outcome.SERVED, value.bytes(), note, report, clean);
--- a/balancer/src/main/java/baymoor/south/South.java
+++ b/balancer/src/main/java/baymoor/south/South.java
@@ -30,6 +30,7 @@
     private static final long SWEEP_MICROS = 1_000_000;
     /** A connection is given up this long before the other side may close it: a request would cross that. */
     private static final long IDLE_MARGIN_MICROS = 3_000_000;
+
     private static final long PROBE_MICROS = 400_000;
     private static final int STALL_PART = 4;
     private static final int MOST_CLOSING = 8;
@@ -43,6 +44,7 @@
      * are little longer than the time for a connection, so only a part of that leaves time to try again.
      */
     final long stallMicros;
+
     private final LongFunction<Inventory.Entry> inventory;
     private final String originKind;
     private final List<String> reportFields;
@@ -55,6 +57,7 @@
     private final Set<Host> wanted = new LinkedHashSet<>();
     /** Hosts with idle connections. */
     final Set<Host> resting = new LinkedHashSet<>();
+
     private boolean serving;
     int lanes;
 
@@ -62,8 +65,16 @@
      * @param originKind the kind in the inventory that marks the origin, or null
      * @param mostLanes  bound of all connections together
      */
-    public South(Dialer dialer, Time time, Counters counters, LongFunction<Inventory.Entry> inventory,
-            String originKind, List<String> reportFields, Limits limits, int mostLanes, Ends ends) {
+    public South(
+            Dialer dialer,
+            Time time,
+            Counters counters,
+            LongFunction<Inventory.Entry> inventory,
+            String originKind,
+            List<String> reportFields,
+            Limits limits,
+            int mostLanes,
+            Ends ends) {
         this.dialer = dialer;
         this.time = time;
         this.counters = counters;
@@ -94,8 +105,7 @@
     /** Asks a host for its load report. */
     public void probe(long id) {
         counters.add(Count.PROBES);
-        start(new Relay(null, 0, host(id), null, time.now(), time.now() + PROBE_MICROS,
-                () -> true));
+        start(new Relay(null, 0, host(id), null, time.now(), time.now() + PROBE_MICROS, () -> true));
     }
 
     private void start(Relay relay) {
@@ -247,17 +257,18 @@
             return;
         }
         relays.remove(name(relay.request, relay.attempt));
-        counters.add(switch (reply.outcome()) {
-            case SERVED -> Count.RELAYS_SERVED;
-            case MISS -> Count.RELAYS_MISS;
-            case ERROR -> Count.RELAYS_ERROR;
-            case FULL -> Count.RELAYS_FULL;
-            case TIMED_OUT -> Count.RELAYS_TIMED_OUT;
-            case NOT_CONNECTED -> Count.RELAYS_NOT_CONNECTED;
-            case RESET -> Count.RELAYS_RESET;
-            case CANCELLED -> Count.RELAYS_CANCELLED;
-            case NOT_SENT -> Count.RELAYS_NOT_SENT;
-        });
+        counters.add(
+                switch (reply.outcome()) {
+                    case SERVED -> Count.RELAYS_SERVED;
+                    case MISS -> Count.RELAYS_MISS;
+                    case ERROR -> Count.RELAYS_ERROR;
+                    case FULL -> Count.RELAYS_FULL;
+                    case TIMED_OUT -> Count.RELAYS_TIMED_OUT;
+                    case NOT_CONNECTED -> Count.RELAYS_NOT_CONNECTED;
+                    case RESET -> Count.RELAYS_RESET;
+                    case CANCELLED -> Count.RELAYS_CANCELLED;
+                    case NOT_SENT -> Count.RELAYS_NOT_SENT;
+                });
         ends.relayEnded(relay.request, relay.attempt, relay.host.id, reply, latency);
     }
 
--- a/balancer/src/main/java/merlinstep/Cache.java
+++ b/balancer/src/main/java/merlinstep/Cache.java
@@ -52,10 +52,14 @@
     }
 
     /** What is out here from all balancers, as far as they told. */
-    int load() { return outstanding + elsewhere; }
+    int load() {
+        return outstanding + elsewhere;
+    }
 
     /** Moves the part of its answers that are errors. */
-    void answered(boolean failed) { failing += ((failed ? 1 : 0) - failing) / Rules.ANSWERS_SEEN; }
+    void answered(boolean failed) {
+        failing += ((failed ? 1 : 0) - failing) / Rules.ANSWERS_SEEN;
+    }
 
     void suspect() {
         area.suspects += suspect ? 0 : 1;
@@ -74,6 +78,7 @@
     static final class Area {
         /** Half of the least, so that a difference from it does not overflow. */
         long heardMicros = Long.MIN_VALUE / 2;
+
         int suspects;
         boolean down;
         long trialMicros;
--- a/balancer/src/main/java/merlinstep/Decisions.java
+++ b/balancer/src/main/java/merlinstep/Decisions.java
@@ -28,8 +28,15 @@
 
     /** How an attempt ended; {@link #provesNothingRan} is what the effect rules need of it. */
     enum Outcome {
-        SERVED(false), ERROR(false), FULL(true), TIMED_OUT(false), NOT_CONNECTED(true), RESET(false),
-        CANCELLED(false), NOT_SENT(true), MISS(true);
+        SERVED(false),
+        ERROR(false),
+        FULL(true),
+        TIMED_OUT(false),
+        NOT_CONNECTED(true),
+        RESET(false),
+        CANCELLED(false),
+        NOT_SENT(true),
+        MISS(true);
 
         private final boolean unrun;
 
@@ -43,61 +50,148 @@
     }
 
     /** Whether a request of a class may run more than once. */
-    enum Effect { SAFE, KEYED, UNSAFE }
+    enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** Which servers drop the repeat of a keyed request. */
-    enum Group { ALL, ZONE, CELL }
+    enum Group {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** Whether the server list arrives by itself or has to be asked for. */
-    enum Membership { PUSH, ASK }
+    enum Membership {
+        PUSH,
+        ASK
+    }
 
     /** How load reports arrive. */
-    enum Reports { WITH_ANSWERS, WITH_PROBES, NONE }
+    enum Reports {
+        WITH_ANSWERS,
+        WITH_PROBES,
+        NONE
+    }
 
     /** What the size of a listed server means. */
-    enum Weights { NONE, NOMINAL, ROUGH, LIVE }
+    enum Weights {
+        NONE,
+        NOMINAL,
+        ROUGH,
+        LIVE
+    }
 
     /** What a server does with a request whose key it lacks: fetch it itself, or answer with a miss. */
-    enum Mode { THROUGH, ASIDE }
+    enum Mode {
+        THROUGH,
+        ASIDE
+    }
 
     /** State of a listed server. */
-    enum State { RUNNING, DRAINING, GONE }
+    enum State {
+        RUNNING,
+        DRAINING,
+        GONE
+    }
 
     /** How a server list event relates to what is known. */
-    enum ListKind { CHANGES, WHOLE, LAST_KNOWN, FAILED }
+    enum ListKind {
+        CHANGES,
+        WHOLE,
+        LAST_KNOWN,
+        FAILED
+    }
 
     /** A class of requests. {@code aimPerWork} stretches the aim by a multiple of the request's own work. */
-    record RequestClass(String name, long aimMicros, double aimPerWork, long deadlineMicros, Effect effect, Group group,
-            long windowMicros, double worth, double lateWorth, boolean streamed) { }
+    record RequestClass(
+            String name,
+            long aimMicros,
+            double aimPerWork,
+            long deadlineMicros,
+            Effect effect,
+            Group group,
+            long windowMicros,
+            double worth,
+            double lateWorth,
+            boolean streamed) {}
 
     /** A tenant, with the requests a second over all balancers that are within its share. */
-    record Tenant(String name, double share, double quotaPerSecond) { }
+    record Tenant(String name, double share, double quotaPerSecond) {}
 
     /** What the site allows. A CPU figure of 0 means no such limit. */
-    record Limits(int maxAttempts, int maxOpen, boolean secondCopies, boolean mayCancel, boolean mayProbe,
-            boolean mayTellPeers, boolean retryAfter, long maxRetryAfterMicros, long connectTimeoutMicros,
-            long idleCloseMicros, int streamsPerConnection, double cpuMicrosPerSecond, double cpuMicrosPerRequest) { }
+    record Limits(
+            int maxAttempts,
+            int maxOpen,
+            boolean secondCopies,
+            boolean mayCancel,
+            boolean mayProbe,
+            boolean mayTellPeers,
+            boolean retryAfter,
+            long maxRetryAfterMicros,
+            long connectTimeoutMicros,
+            long idleCloseMicros,
+            int streamsPerConnection,
+            double cpuMicrosPerSecond,
+            double cpuMicrosPerRequest) {}
 
     /** The figures of the four rules. */
-    record RuleFigures(long answerSlackMicros, long drainGraceMicros, long askWithinMicros, double coldCapacity,
-            long coldMicros, double fallMultiple, long fallMicros) { }
+    record RuleFigures(
+            long answerSlackMicros,
+            long drainGraceMicros,
+            long askWithinMicros,
+            double coldCapacity,
+            long coldMicros,
+            double fallMultiple,
+            long fallMicros) {}
 
     /** Points taken off the result for each unit of use. */
-    record Prices(double connection, double crossZone, double membership, double fleet, double handshake,
-            double lateFail, double moves, double origin, double peer, double probe, double waste) { }
+    record Prices(
+            double connection,
+            double crossZone,
+            double membership,
+            double fleet,
+            double handshake,
+            double lateFail,
+            double moves,
+            double origin,
+            double peer,
+            double probe,
+            double waste) {}
 
     /** Weights of the parts of the result. */
-    record Goal(double whole, double worstWindow, double worstClass, double worstTenant) { }
+    record Goal(double whole, double worstWindow, double worstClass, double worstTenant) {}
 
     /** The shared store behind the caches; {@code kind} is -1 where no listed server is the origin. */
-    record Origin(Mode mode, int kind, double fallMultiple, long fallMicros) { }
+    record Origin(Mode mode, int kind, double fallMultiple, long fallMicros) {}
 
     /** What an instance is told at start; {@code seed} is its only source of randomness. */
-    record Settings(int index, int balancers, long seed, String zone, List<String> zones, List<String> kinds,
-            List<String> tiers, int tier, List<RequestClass> classes, List<Tenant> tenants, Membership membership,
-            Origin origin, Limits limits, RuleFigures rules, Prices prices, Goal goal, Reports reports,
-            List<String> reportFields, Weights weights, boolean worthByWork, double overShareWorth,
-            boolean retriesMarked, long tickMicros) {
+    record Settings(
+            int index,
+            int balancers,
+            long seed,
+            String zone,
+            List<String> zones,
+            List<String> kinds,
+            List<String> tiers,
+            int tier,
+            List<RequestClass> classes,
+            List<Tenant> tenants,
+            Membership membership,
+            Origin origin,
+            Limits limits,
+            RuleFigures rules,
+            Prices prices,
+            Goal goal,
+            Reports reports,
+            List<String> reportFields,
+            Weights weights,
+            boolean worthByWork,
+            double overShareWorth,
+            boolean retriesMarked,
+            long tickMicros) {
 
         public Settings {
             check(balancers >= 1, "balancers");
@@ -141,60 +235,78 @@
     }
 
     /** A listed server. {@code startedMicros} is the clock time of its last start, 0 for long ago. */
-    record Server(long id, double size, String kind, State state, String zone, long startedMicros, int cell) { }
+    record Server(long id, double size, String kind, State state, String zone, long startedMicros, int cell) {}
 
     /** Everything an instance can hear. */
-    sealed interface Event { }
+    sealed interface Event {}
 
     /** The server list, whole or in part; {@code servers} is empty for {@link ListKind#FAILED}. */
-    record ServerList(ListKind kind, long version, List<Server> servers) implements Event { }
+    record ServerList(ListKind kind, long version, List<Server> servers) implements Event {}
 
     /** A client's request; one final answer is owed from now on. {@code work} and {@code size} are 0 if not told. */
-    record Request(String id, String requestClass, String tenant, boolean hasKey, long key, long deadlineMicros,
-            long workMicros, double size, boolean retry, boolean write) implements Event { }
+    record Request(
+            String id,
+            String requestClass,
+            String tenant,
+            boolean hasKey,
+            long key,
+            long deadlineMicros,
+            long workMicros,
+            double size,
+            boolean retry,
+            boolean write)
+            implements Event {}
 
     /** The answer of a streamed class has begun; from here the attempt belongs to the client. */
-    record AnswerBegan(String request, long server, long latencyMicros, int attempt) implements Event { }
+    record AnswerBegan(String request, long server, long latencyMicros, int attempt) implements Event {}
 
     /** An attempt ended. {@code done}: the request is over. {@code note}: 1 hit, 2 miss, 3 miss being fetched. */
-    record AttemptEnded(String request, int attempt, long server, Outcome outcome, long latencyMicros, boolean done,
-            int note, double[] report) implements Event { }
+    record AttemptEnded(
+            String request,
+            int attempt,
+            long server,
+            Outcome outcome,
+            long latencyMicros,
+            boolean done,
+            int note,
+            double[] report)
+            implements Event {}
 
     /** The client has left, or its answer is overdue; nothing is owed any more. */
-    record RequestGone(String request) implements Event { }
+    record RequestGone(String request) implements Event {}
 
     /** A timer set by {@link SetTimer} fell due. */
-    record TimerFired(long token) implements Event { }
+    record TimerFired(long token) implements Event {}
 
     /** The result of a {@link Probe}. */
-    record Probed(long server, Outcome outcome, long latencyMicros, double[] report) implements Event { }
+    record Probed(long server, Outcome outcome, long latencyMicros, double[] report) implements Event {}
 
     /** A message of the balancer with number {@code from}. */
-    record PeerMessage(int from, byte[] content) implements Event { }
+    record PeerMessage(int from, byte[] content) implements Event {}
 
     /** Everything an instance can order. */
-    sealed interface Action { }
+    sealed interface Action {}
 
     /** Start the next attempt of a request; a time-out of 0 means the client's deadline. */
-    record Send(String request, long server, long timeoutMicros) implements Action { }
+    record Send(String request, long server, long timeoutMicros) implements Action {}
 
     /** Stop waiting for one attempt. */
-    record Cancel(String request, int attempt) implements Action { }
+    record Cancel(String request, int attempt) implements Action {}
 
     /** Final answer: refused, trying again is harmless. */
-    record Refuse(String request, long retryAfterMicros) implements Action { }
+    record Refuse(String request, long retryAfterMicros) implements Action {}
 
     /** Final answer: failed, without a promise. */
-    record Fail(String request) implements Action { }
+    record Fail(String request) implements Action {}
 
     /** Ask for a {@link TimerFired} after {@code delayMicros}. */
-    record SetTimer(long token, long delayMicros) implements Action { }
+    record SetTimer(long token, long delayMicros) implements Action {}
 
     /** Ask a server for its load report. */
-    record Probe(long server) implements Action { }
+    record Probe(long server) implements Action {}
 
     /** Close idle connections to a server. */
-    record CloseIdle(long server) implements Action { }
+    record CloseIdle(long server) implements Action {}
 
     /** Send at most 256 bytes to one peer, or to all with {@link #EVERYONE}. */
     record TellPeer(int peer, byte[] content) implements Action {
@@ -202,11 +314,11 @@
     }
 
     /** A line for the person on call. */
-    record Log(String text) implements Action { }
+    record Log(String text) implements Action {}
 
     /** Subscribe to changes of the server list, or end the subscription. */
-    record WatchServers(boolean on) implements Action { }
+    record WatchServers(boolean on) implements Action {}
 
     /** Ask once for the whole server list. */
-    record AskServers() implements Action { }
+    record AskServers() implements Action {}
 }
--- a/balancer/src/main/java/merlinstep/KeyCounts.java
+++ b/balancer/src/main/java/merlinstep/KeyCounts.java
@@ -25,7 +25,9 @@
     }
 
     /** All that was counted, less what was forgotten. */
-    double total() { return total; }
+    double total() {
+        return total;
+    }
 
     /** Forgets half of what was counted. */
     void halve() {
--- a/balancer/src/main/java/merlinstep/Loads.java
+++ b/balancer/src/main/java/merlinstep/Loads.java
@@ -17,7 +17,7 @@
     /** What such a message has left beside the figures. */
     private static final int MOST = (FULL_MESSAGE - Figures.BYTES) / 3;
 
-    private Loads() { }
+    private Loads() {}
 
     static int tag(long id) {
         return (int) (Hash.mix(id) & 0xffff);
--- a/balancer/src/main/java/merlinstep/Peer.java
+++ b/balancer/src/main/java/merlinstep/Peer.java
@@ -5,6 +5,7 @@
     Figures said = Figures.NONE;
     /** What was said when its answers were last counted. */
     Figures counted = Figures.NONE;
+
     boolean fresh;
     long heardMicros = Long.MIN_VALUE;
     int incarnation, sequence;
--- a/balancer/src/main/java/merlinstep/simhost/Conf.java
+++ b/balancer/src/main/java/merlinstep/simhost/Conf.java
@@ -38,9 +38,17 @@
             String at = "classes." + i + ".";
             Effect effect = choice(at + "effect", Effect.UNSAFE, "retryable", Effect.SAFE, "dedup", Effect.KEYED);
             Group group = choice(at + "group", Group.CELL, "all", Group.ALL, "zone", Group.ZONE);
-            classes.add(new RequestClass(needed(at + "name"), whole(at + "on_time", 0), real(at + "aim_stretch", 0),
-                    neededWhole(at + "hard_limit"), effect, group, whole(at + "key_ttl", 0), real(at + "value", 1),
-                    real(at + "late_worth", 0), flag(at + "streamed")));
+            classes.add(new RequestClass(
+                    needed(at + "name"),
+                    whole(at + "on_time", 0),
+                    real(at + "aim_stretch", 0),
+                    neededWhole(at + "hard_limit"),
+                    effect,
+                    group,
+                    whole(at + "key_ttl", 0),
+                    real(at + "value", 1),
+                    real(at + "late_worth", 0),
+                    flag(at + "streamed")));
         }
         List<Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < whole("tenants.count", 0); i++) {
@@ -48,39 +56,80 @@
             tenants.add(new Tenant(needed(at + "name"), real(at + "share", 0), real(at + "quota_per_s", 0)));
         }
         List<String> layers = list("layers");
-        return new Settings((int) neededWhole("me"), (int) neededWhole("siblings"), neededWhole("nonce64"),
-                text("az", ""), list("failure_domains"), list("skus"), layers, (int) whole("layer", 0), classes, tenants,
+        return new Settings(
+                (int) neededWhole("me"),
+                (int) neededWhole("siblings"),
+                neededWhole("nonce64"),
+                text("az", ""),
+                list("failure_domains"),
+                list("skus"),
+                layers,
+                (int) whole("layer", 0),
+                classes,
+                tenants,
                 choice("membership_mode", Membership.PUSH, "subscribe", Membership.ASK, "automatic", Membership.PUSH),
-                new Origin(choice("extra.mode", Mode.THROUGH, "aside", Mode.ASIDE, "through", Mode.THROUGH),
-                        (int) whole("extra.origin_kind", -1), real("extra.origin_fall_multiple", 0),
+                new Origin(
+                        choice("extra.mode", Mode.THROUGH, "aside", Mode.ASIDE, "through", Mode.THROUGH),
+                        (int) whole("extra.origin_kind", -1),
+                        real("extra.origin_fall_multiple", 0),
                         whole("extra.origin_fall", 0)),
-                limits(), rules(), prices(),
-                new Goal(real("scoring_mix.whole", 1), real("scoring_mix.worst_window", 0),
-                        real("scoring_mix.worst_class", 0), real("scoring_mix.worst_tenant", 0)),
+                limits(),
+                rules(),
+                prices(),
+                new Goal(
+                        real("scoring_mix.whole", 1),
+                        real("scoring_mix.worst_window", 0),
+                        real("scoring_mix.worst_class", 0),
+                        real("scoring_mix.worst_tenant", 0)),
                 choice("load_info.how", Reports.NONE, "inline", Reports.WITH_ANSWERS, "on_probe", Reports.WITH_PROBES),
-                list("load_info.names"), weights(), text("counted_by", "request").equals("work"),
-                real("over_share_worth", 1), flag("client_habits.marks_retry"), whole("tick", 0));
+                list("load_info.names"),
+                weights(),
+                text("counted_by", "request").equals("work"),
+                real("over_share_worth", 1),
+                flag("client_habits.marks_retry"),
+                whole("tick", 0));
     }
 
     private Limits limits() {
-        return new Limits((int) whole("limits.max_attempts", 1), (int) whole("limits.open_cap", 0),
-                flag("limits.second_copies"), flag("limits.may_cancel"), flag("limits.may_probe"),
-                flag("limits.may_tell"), flag("limits.retry_after"), whole("limits.max_retry_after", 0),
-                whole("limits.connect_timeout", 0), whole("limits.idle_close", 0),
-                (int) whole("limits.streams_per_conn", 1), real("limits.cpu_us_per_s", 0),
+        return new Limits(
+                (int) whole("limits.max_attempts", 1),
+                (int) whole("limits.open_cap", 0),
+                flag("limits.second_copies"),
+                flag("limits.may_cancel"),
+                flag("limits.may_probe"),
+                flag("limits.may_tell"),
+                flag("limits.retry_after"),
+                whole("limits.max_retry_after", 0),
+                whole("limits.connect_timeout", 0),
+                whole("limits.idle_close", 0),
+                (int) whole("limits.streams_per_conn", 1),
+                real("limits.cpu_us_per_s", 0),
                 real("limits.cpu_us_per_request", 0));
     }
 
     private RuleFigures rules() {
-        return new RuleFigures(whole("rules.answer_slack", 0), whole("rules.drain_grace", 0),
-                whole("rules.ask_within", 0), real("rules.start_capacity", 0), whole("rules.cold", 0),
-                real("rules.tip_multiple", 0), whole("rules.overload_for", 0));
+        return new RuleFigures(
+                whole("rules.answer_slack", 0),
+                whole("rules.drain_grace", 0),
+                whole("rules.ask_within", 0),
+                real("rules.start_capacity", 0),
+                whole("rules.cold", 0),
+                real("rules.tip_multiple", 0),
+                whole("rules.overload_for", 0));
     }
 
     private Prices prices() {
-        return new Prices(real("prices.connection", 0), real("prices.cross_zone", 0), real("prices.membership_mode", 0),
-                real("prices.fleet", 0), real("prices.handshake", 0), real("prices.late_fail", 0),
-                real("prices.moves", 0), real("prices.origin", 0), real("prices.peer", 0), real("prices.probe", 0),
+        return new Prices(
+                real("prices.connection", 0),
+                real("prices.cross_zone", 0),
+                real("prices.membership_mode", 0),
+                real("prices.fleet", 0),
+                real("prices.handshake", 0),
+                real("prices.late_fail", 0),
+                real("prices.moves", 0),
+                real("prices.origin", 0),
+                real("prices.peer", 0),
+                real("prices.probe", 0),
                 real("prices.waste", 0));
     }
 
--- a/balancer/src/main/java/merlinstep/simhost/Host.java
+++ b/balancer/src/main/java/merlinstep/simhost/Host.java
@@ -119,19 +119,36 @@
             inRound = false;
             reply.finish(out);
         } else if (line.is("CLOSED_ATTEMPT")) {
-            decide(new AttemptEnded(line.text("txn"), line.small("copy", Integer.MAX_VALUE), line.number("host"),
-                    outcome(), line.number("latency", 0), line.flag("terminal"), (int) line.number("info", 0),
+            decide(new AttemptEnded(
+                    line.text("txn"),
+                    line.small("copy", Integer.MAX_VALUE),
+                    line.number("host"),
+                    outcome(),
+                    line.number("latency", 0),
+                    line.flag("terminal"),
+                    (int) line.number("info", 0),
                     line.report("gauge")));
         } else if (line.is("INBOUND")) {
-            decide(new Request(line.text("txn"), line.neededWord("grade", words), line.word("project", words),
-                    line.has("route_key"), line.hex("route_key"), line.number("deadline"), line.number("estimate", 0),
-                    line.real("size", 0), line.flag("retry"), line.flag("is_write")));
+            decide(new Request(
+                    line.text("txn"),
+                    line.neededWord("grade", words),
+                    line.word("project", words),
+                    line.has("route_key"),
+                    line.hex("route_key"),
+                    line.number("deadline"),
+                    line.number("estimate", 0),
+                    line.real("size", 0),
+                    line.flag("retry"),
+                    line.flag("is_write")));
         } else if (line.is("MAIL")) {
             decide(new PeerMessage(line.small("from", Integer.MAX_VALUE), line.base64("content")));
         } else if (line.is("WAKEUP")) {
             decide(new TimerFired(line.number("key_back")));
         } else if (line.is("OPENED")) {
-            decide(new AnswerBegan(line.text("txn"), line.number("host"), line.number("latency", 0),
+            decide(new AnswerBegan(
+                    line.text("txn"),
+                    line.number("host"),
+                    line.number("latency", 0),
                     line.small("copy", Integer.MAX_VALUE)));
         } else if (line.is("CANCELLED_BY_CLIENT")) {
             decide(new RequestGone(line.text("txn")));
@@ -200,8 +217,14 @@
         if (!line.is("ENTRY")) {
             throw new MalformedLine(line.message(), "where an ENTRY is due");
         }
-        entries.add(new Server(line.number("host"), line.real("size", 1), line.neededWord("shape", words), state(),
-                line.word("rack_zone", words), line.number("boot_time", 0), (int) line.number("block", 0)));
+        entries.add(new Server(
+                line.number("host"),
+                line.real("size", 1),
+                line.neededWord("shape", words),
+                state(),
+                line.word("rack_zone", words),
+                line.number("boot_time", 0),
+                (int) line.number("block", 0)));
         entriesLeft--;
     }
 
--- a/balancer/src/main/java/merlinstep/simhost/Main.java
+++ b/balancer/src/main/java/merlinstep/simhost/Main.java
@@ -10,14 +10,15 @@
 
     private static final int USAGE = 2;
 
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("simhost")) {
             System.err.println("usage: java -jar merlinstep.jar simhost");
             System.exit(USAGE);
         }
-        Host host = new Host(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out), System.err);
+        Host host =
+                new Host(new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out), System.err);
         System.exit(host.run());
     }
 }
--- a/balancer/src/main/java/merlinstep/simhost/Reply.java
+++ b/balancer/src/main/java/merlinstep/simhost/Reply.java
@@ -39,15 +39,35 @@
             begin("DISPATCH").put("\ttxn=").put(a.request()).put("\ttimeout=").put(a.timeoutMicros());
             put("\thost=").put(a.server()).end();
         } else if (action instanceof SetTimer a) {
-            begin("AFTER").put("\tkey_back=").put(a.token()).put("\twait=").put(a.delayMicros()).end();
+            begin("AFTER")
+                    .put("\tkey_back=")
+                    .put(a.token())
+                    .put("\twait=")
+                    .put(a.delayMicros())
+                    .end();
         } else if (action instanceof TellPeer a) {
-            begin("WRITE_PEER").put("\twhom=").put(a.peer()).put("\tcontent=").put(encode(a.content())).end();
+            begin("WRITE_PEER")
+                    .put("\twhom=")
+                    .put(a.peer())
+                    .put("\tcontent=")
+                    .put(encode(a.content()))
+                    .end();
         } else if (action instanceof Refuse a) {
-            begin("OVERLOAD_REPLY").put("\ttxn=").put(a.request()).put("\tstay_away=").put(a.retryAfterMicros()).end();
+            begin("OVERLOAD_REPLY")
+                    .put("\ttxn=")
+                    .put(a.request())
+                    .put("\tstay_away=")
+                    .put(a.retryAfterMicros())
+                    .end();
         } else if (action instanceof Fail a) {
             begin("REPORT_FAILURE").put("\ttxn=").put(a.request()).end();
         } else if (action instanceof Cancel a) {
-            begin("REVOKE").put("\ttxn=").put(a.request()).put("\tcopy=").put(a.attempt()).end();
+            begin("REVOKE")
+                    .put("\ttxn=")
+                    .put(a.request())
+                    .put("\tcopy=")
+                    .put(a.attempt())
+                    .end();
         } else if (action instanceof Probe a) {
             begin("INSPECT").put("\thost=").put(a.server()).end();
         } else if (action instanceof CloseIdle a) {
@@ -90,7 +110,8 @@
     }
 
     private Reply putText(String text) {
-        byte[] utf = text.replace('\t', ' ').replace('\n', ' ').replace('\r', ' ').getBytes(StandardCharsets.UTF_8);
+        byte[] utf =
+                text.replace('\t', ' ').replace('\n', ' ').replace('\r', ' ').getBytes(StandardCharsets.UTF_8);
         room(utf.length);
         System.arraycopy(utf, 0, bytes, length, utf.length);
         length += utf.length;
--- a/balancer/src/test/java/baymoor/CrossingsIT.java
+++ b/balancer/src/test/java/baymoor/CrossingsIT.java
@@ -40,8 +40,8 @@
 
     @Test
     public void aClientLeavesWhileTheConnectionForItsRequestIsComingUp() throws Exception {
-        World.Late router = world.with("\"connect_timeout\": 250000", "\"connect_timeout\": 15000000")
-                .new Late("s-a", VALUE);
+        World.Late router =
+                world.with("\"connect_timeout\": 250000", "\"connect_timeout\": 15000000").new Late("s-a", VALUE);
         world.start();
         try (World.Client client = world.client()) {
             client.send(order("left"));
@@ -58,8 +58,8 @@
 
     @Test
     public void aClientLeavesOnceTheConnectionForItsRequestIsUp() throws Exception {
-        World.Late router = world.with("\"connect_timeout\": 250000", "\"connect_timeout\": 15000000")
-                .new Late("s-a", VALUE);
+        World.Late router =
+                world.with("\"connect_timeout\": 250000", "\"connect_timeout\": 15000000").new Late("s-a", VALUE);
         world.start();
         try (World.Client client = world.client()) {
             client.send(order("left"));
@@ -101,7 +101,7 @@
             clients.add(crowd.submit(() -> {
                 List<String> answered = new ArrayList<>();
                 try (World.Client client = world.client()) {
-                    for (int i = 0;; i++) {
+                    for (int i = 0; ; i++) {
                         String id = number + "-" + i;
                         client.send("OBJ.GET", "0a", id, "c=map-read,t=fraser-surveyors,d=1400");
                         String answer = client.answer();
@@ -149,8 +149,10 @@
         World.Call second = world.called();
         long millis = TimeUnit.NANOSECONDS.toMillis(second.nanos - silent);
         assertTrue("asked again " + millis + " ms after the silence began", millis < 5_500);
-        second.watched().says(world.whole(2)).says("{\"index\":3,\"snapshot\":false,\"endpoints\":["
-                + World.endpoint("s-a", leaving.port, "two-core", "terminating", 0) + "]}");
+        second.watched()
+                .says(world.whole(2))
+                .says("{\"index\":3,\"snapshot\":false,\"endpoints\":["
+                        + World.endpoint("s-a", leaving.port, "two-core", "terminating", 0) + "]}");
         assertTrue(hangs.target, hangs.target.contains("watch=1&from=1"));
         try (World.Client client = world.client()) {
             int key = 0;
--- a/balancer/src/test/java/baymoor/FakeLink.java
+++ b/balancer/src/test/java/baymoor/FakeLink.java
@@ -11,6 +11,7 @@
     public boolean closed;
     /** Whether what is written leaves at once. */
     public boolean leaves;
+
     public boolean reading = true;
     public boolean unread;
     public boolean over;
--- a/balancer/src/test/java/baymoor/LayoutTest.java
+++ b/balancer/src/test/java/baymoor/LayoutTest.java
@@ -14,31 +14,60 @@
 
     @Test
     public void packagesImportInOneDirection() {
-        JavaClasses program = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+        JavaClasses program = new ClassFileImporter()
+                .withImportOption(new ImportOption.DoNotIncludeTests())
                 .importPackages("baymoor", "merlinstep");
         slices().matching("(baymoor.*)..").should().beFreeOfCycles().check(program);
         var layers = layeredArchitecture().consideringOnlyDependenciesInLayers();
-        for (String name : new String[] {"config", "resp", "http", "inventory", "peers", "north", "south", "dispatch",
-            "net", "assembly", "serve"}) {
+        for (String name : new String[] {
+            "config", "resp", "http", "inventory", "peers", "north", "south", "dispatch", "net", "assembly", "serve"
+        }) {
             layers = layers.layer(name).definedBy("baymoor." + name + "..");
         }
-        layers.whereLayer("serve").mayNotBeAccessedByAnyLayer()
-                .whereLayer("net").mayOnlyBeAccessedByLayers("serve")
-                .whereLayer("assembly").mayOnlyBeAccessedByLayers("serve")
-                .whereLayer("dispatch").mayOnlyBeAccessedByLayers("assembly", "serve")
-                .whereLayer("north").mayOnlyBeAccessedByLayers("dispatch", "assembly", "serve")
-                .whereLayer("south").mayOnlyBeAccessedByLayers("dispatch", "assembly", "serve")
-                .whereLayer("config").mayOnlyBeAccessedByLayers("assembly", "serve")
+        layers.whereLayer("serve")
+                .mayNotBeAccessedByAnyLayer()
+                .whereLayer("net")
+                .mayOnlyBeAccessedByLayers("serve")
+                .whereLayer("assembly")
+                .mayOnlyBeAccessedByLayers("serve")
+                .whereLayer("dispatch")
+                .mayOnlyBeAccessedByLayers("assembly", "serve")
+                .whereLayer("north")
+                .mayOnlyBeAccessedByLayers("dispatch", "assembly", "serve")
+                .whereLayer("south")
+                .mayOnlyBeAccessedByLayers("dispatch", "assembly", "serve")
+                .whereLayer("config")
+                .mayOnlyBeAccessedByLayers("assembly", "serve")
                 .check(program);
-        ArchRuleDefinition.noClasses().that().resideOutsideOfPackages("baymoor.net..", "merlinstep.simhost..")
-                .should().dependOnClassesThat().resideInAnyPackage("org.apache.mina..", "java.nio.channels..")
-                .because("a state machine knows no socket").check(program);
-        ArchRuleDefinition.noClasses().that().resideInAPackage("baymoor..").and()
-                .resideOutsideOfPackage("baymoor.dispatch..").should().callMethod(merlinstep.Decisions.class, "decide",
-                        long.class, merlinstep.Decisions.Event.class, merlinstep.Decisions.Sink.class)
-                .because("dispatch alone calls the decisions").check(program);
-        ArchRuleDefinition.noClasses().that().resideInAPackage("baymoor.dispatch..").should().dependOnClassesThat()
-                .resideInAnyPackage("baymoor.resp..", "baymoor.http..").because("dispatch knows no protocol")
+        ArchRuleDefinition.noClasses()
+                .that()
+                .resideOutsideOfPackages("baymoor.net..", "merlinstep.simhost..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("org.apache.mina..", "java.nio.channels..")
+                .because("a state machine knows no socket")
+                .check(program);
+        ArchRuleDefinition.noClasses()
+                .that()
+                .resideInAPackage("baymoor..")
+                .and()
+                .resideOutsideOfPackage("baymoor.dispatch..")
+                .should()
+                .callMethod(
+                        merlinstep.Decisions.class,
+                        "decide",
+                        long.class,
+                        merlinstep.Decisions.Event.class,
+                        merlinstep.Decisions.Sink.class)
+                .because("dispatch alone calls the decisions")
+                .check(program);
+        ArchRuleDefinition.noClasses()
+                .that()
+                .resideInAPackage("baymoor.dispatch..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("baymoor.resp..", "baymoor.http..")
+                .because("dispatch knows no protocol")
                 .check(program);
     }
 }
--- a/balancer/src/test/java/baymoor/ManualTime.java
+++ b/balancer/src/test/java/baymoor/ManualTime.java
@@ -7,11 +7,12 @@
 
 /** A clock that a test moves. */
 public final class ManualTime implements Time {
-    private record Due(long at, int number, Runnable task) { }
+    private record Due(long at, int number, Runnable task) {}
 
     private final List<Due> timers = new ArrayList<>();
     /** How long what is told now may have waited. */
     public long waited;
+
     private long now = 1_000_000;
     private int number;
 
@@ -36,8 +37,10 @@
     public void pass(long micros) {
         long end = now + micros;
         while (true) {
-            Due next = timers.stream().filter(d -> d.at <= end)
-                    .min(Comparator.comparingLong(Due::at).thenComparingInt(Due::number)).orElse(null);
+            Due next = timers.stream()
+                    .filter(d -> d.at <= end)
+                    .min(Comparator.comparingLong(Due::at).thenComparingInt(Due::number))
+                    .orElse(null);
             if (next == null) {
                 now = end;
                 return;
--- a/balancer/src/test/java/baymoor/ProgramIT.java
+++ b/balancer/src/test/java/baymoor/ProgramIT.java
@@ -45,12 +45,16 @@
         }
         assertEquals("OBJ.GET", router.got.get(0).words().get(0));
         assertEquals("0b", router.got.get(0).words().get(2));
-        assertTrue(router.got.get(0).words().get(3), router.got.get(0).words().get(3)
-                .matches("c=map-read,t=fraser-surveyors,d=[0-9]+,size=2.5"));
+        assertTrue(
+                router.got.get(0).words().get(3),
+                router.got.get(0).words().get(3).matches("c=map-read,t=fraser-surveyors,d=[0-9]+,size=2.5"));
         var sent = origin.got.get(0).words();
         assertEquals("GET /0a HTTP/1.1", sent.get(0));
         assertTrue(sent.toString(), sent.contains("x-correlation-id: 0b"));
-        String facts = sent.stream().filter(line -> line.startsWith("x-facts: ")).findFirst().orElse("");
+        String facts = sent.stream()
+                .filter(line -> line.startsWith("x-facts: "))
+                .findFirst()
+                .orElse("");
         assertTrue(facts, facts.matches("x-facts: c=map-read,t=fraser-surveyors,d=[0-9]+,size=2.5"));
         long told = Long.parseLong(facts.replaceAll(".*,d=([0-9]+),.*", "$1"));
         assertTrue("what is left of the client's 1400 ms, less the way there and back", told > 0 && told <= 1398);
@@ -68,8 +72,11 @@
             assertEquals("2", client.answer());
             assertEquals("3", client.answer());
             String counters = client.ask("INFO");
-            assertTrue(counters, counters.contains("requests:3\n") && counters.contains("served:3\n")
-                    && counters.contains("invariants_broken:0\n"));
+            assertTrue(
+                    counters,
+                    counters.contains("requests:3\n")
+                            && counters.contains("served:3\n")
+                            && counters.contains("invariants_broken:0\n"));
         }
     }
 
@@ -77,7 +84,8 @@
     public void badInputIsAnsweredAndOthersAreServedOn() throws IOException {
         world.router("s-a", 0, words -> value("v"));
         world.start();
-        try (World.Client bad = world.client(); World.Client good = world.client()) {
+        try (World.Client bad = world.client();
+                World.Client good = world.client()) {
             assertEquals("-ERR unknown command 'FLUSHALL'", bad.ask("FLUSHALL"));
             assertEquals("-ERR unknown class", bad.ask("OBJ.GET", "0a", "1", "c=none,d=9"));
             bad.raw("*1\r\n$999999\r\n");
@@ -96,7 +104,10 @@
             crowd.add(world.client());
             assertEquals("+PONG", crowd.get(i).ask("PING"));
         }
-        assertEquals("the oldest was idle longest", -1, crowd.get(0).socket().getInputStream().read());
+        assertEquals(
+                "the oldest was idle longest",
+                -1,
+                crowd.get(0).socket().getInputStream().read());
         assertEquals("v", crowd.get(699).ask(read("0a", "1")));
         assertTrue(world.descriptors() < 600);
         for (World.Client client : crowd) {
--- a/balancer/src/test/java/baymoor/RulesOnSocketsIT.java
+++ b/balancer/src/test/java/baymoor/RulesOnSocketsIT.java
@@ -35,7 +35,10 @@
             long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
             assertTrue(answer, answer.startsWith("-"));
             assertTrue("after " + millis + " ms", millis <= 1400 + 70);
-            assertEquals("nothing but the next answer follows", "PONG", client.ask("PING").substring(1));
+            assertEquals(
+                    "nothing but the next answer follows",
+                    "PONG",
+                    client.ask("PING").substring(1));
         }
     }
 
@@ -48,7 +51,9 @@
             String answer = client.ask("OBJ.SET", "0a", "0b", "c=search-order,t=fraser-surveyors,d=1400", "title");
             assertEquals("-ERR failed", answer);
             assertEquals(1, origin.got.size());
-            assertTrue(origin.got.get(0).words().toString(), origin.got.get(0).words().contains("title"));
+            assertTrue(
+                    origin.got.get(0).words().toString(),
+                    origin.got.get(0).words().contains("title"));
         }
     }
 
--- a/balancer/src/test/java/baymoor/World.java
+++ b/balancer/src/test/java/baymoor/World.java
@@ -43,7 +43,7 @@
     private Path file;
 
     /** One message that a router or the origin got, and when. */
-    record Got(List<String> words, long nanos) { }
+    record Got(List<String> words, long nanos) {}
 
     /** A router or origin: {@code answer} gives its answer, null for silence, "close" to break the connection. */
     final class Server {
@@ -253,11 +253,14 @@
     }
 
     String config() throws IOException {
-        return ("{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery() + "\","
-                + "\"seed\":\"1f\",\"limits\":{\"sockets\":1024,\"memory_mb\":128},\"known\":{\"index\":0,\"endpoints\":["
-                + String.join(",", endpoints) + "]},\"settings\":" + Files.readString(
-                        Path.of("balancer/src/test/resources/settings.json"))
-                        .replace("subscribe", pushed ? "automatic" : "subscribe") + "}").replace(instead[0], instead[1]);
+        return ("{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery()
+                        + "\","
+                        + "\"seed\":\"1f\",\"limits\":{\"sockets\":1024,\"memory_mb\":128},\"known\":{\"index\":0,\"endpoints\":["
+                        + String.join(",", endpoints) + "]},\"settings\":"
+                        + Files.readString(Path.of("balancer/src/test/resources/settings.json"))
+                                .replace("subscribe", pushed ? "automatic" : "subscribe")
+                        + "}")
+                .replace(instead[0], instead[1]);
     }
 
     /** From now on configurations hold another text in the place of one of theirs. */
@@ -327,15 +330,21 @@
     /** A command of the deploy file, with assertions on. */
     static String deployed(String name) throws IOException {
         String start = name + " = \"";
-        return Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith(start))
-                .findFirst().orElseThrow().substring(start.length()).replace("exec java", "exec java -ea")
+        return Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(l -> l.startsWith(start))
+                .findFirst()
+                .orElseThrow()
+                .substring(start.length())
+                .replace("exec java", "exec java -ea")
                 .replaceAll("\"$", "");
     }
 
     /** Replaces the configuration file and sends SIGHUP. */
     void reload(String config) throws IOException, InterruptedException {
         Files.writeString(file, config);
-        new ProcessBuilder("/bin/kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+        new ProcessBuilder("/bin/kill", "-HUP", Long.toString(process.pid()))
+                .start()
+                .waitFor();
     }
 
     /** The port of the next discovery that is watched. */
@@ -458,7 +467,8 @@
         for (String h = line(in); !h.isEmpty(); h = line(in)) {
             words.add(h.substring(0, h.indexOf(':')).toLowerCase(java.util.Locale.ROOT) + h.substring(h.indexOf(':')));
             length = h.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")
-                    ? Integer.parseInt(h.substring(15).trim()) : length;
+                    ? Integer.parseInt(h.substring(15).trim())
+                    : length;
         }
         words.add(new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
         return words;
--- a/balancer/src/test/java/baymoor/assembly/EveryFieldTest.java
+++ b/balancer/src/test/java/baymoor/assembly/EveryFieldTest.java
@@ -25,8 +25,20 @@
 /** A configuration with one field missing, of another kind or out of range: one line names it, or it serves. */
 public class EveryFieldTest {
 
-    private static final Object[] STRANGE = {"", "strange", -1, 0, 0.5, 1_000_000_000_000_000_000L, -1e300, true,
-        JSONObject.NULL, new JSONObject(), new JSONArray(), new JSONArray(List.of(JSONObject.NULL))};
+    private static final Object[] STRANGE = {
+        "",
+        "strange",
+        -1,
+        0,
+        0.5,
+        1_000_000_000_000_000_000L,
+        -1e300,
+        true,
+        JSONObject.NULL,
+        new JSONObject(),
+        new JSONArray(),
+        new JSONArray(List.of(JSONObject.NULL))
+    };
     private static final String ID = "7f3a9c21e0b4d655";
 
     private static String good() throws Exception {
@@ -95,23 +107,37 @@
         ManualTime time = new ManualTime();
         FakeLink client = new FakeLink();
         try {
-            Assembly assembly = new Assembly(Config.parse(config, Map.of()), new Assembly.Surroundings(time, (to, events) -> {
-                FakeLink link = new FakeLink();
-                link.events = events;
-                return link;
-            }, (to, content) -> { }, millis -> millis * 1000, 1 << 20, counters, line -> { }));
-            assembly.start(() -> { });
+            Assembly assembly = new Assembly(
+                    Config.parse(config, Map.of()),
+                    new Assembly.Surroundings(
+                            time,
+                            (to, events) -> {
+                                FakeLink link = new FakeLink();
+                                link.events = events;
+                                return link;
+                            },
+                            (to, content) -> {},
+                            millis -> millis * 1000,
+                            1 << 20,
+                            counters,
+                            line -> {}));
+            assembly.start(() -> {});
             LinkEvents events = assembly.client(client);
             client.events = events;
             events.opened();
-            events.received(RespWriter.command(RespWriter.ascii("OBJ.GET"), RespWriter.ascii("0a"), RespWriter.ascii(ID),
+            events.received(RespWriter.command(
+                    RespWriter.ascii("OBJ.GET"),
+                    RespWriter.ascii("0a"),
+                    RespWriter.ascii(ID),
                     RespWriter.ascii("c=path-lookup,t=nordgods,d=800")));
             for (int i = 0; i < 40; i++) {
                 time.pass(50_000);
             }
         } catch (BadConfig e) {
             String said = e.getMessage();
-            return said.startsWith("config: ") && said.lines().count() == 1 && said.contains(place) ? null : "said: " + said;
+            return said.startsWith("config: ") && said.lines().count() == 1 && said.contains(place)
+                    ? null
+                    : "said: " + said;
         } catch (RuntimeException | Error e) {
             return e + " at " + e.getStackTrace()[0];
         }
@@ -120,7 +146,8 @@
             return failures + " failures while it served";
         }
         String out = client.out.toString();
-        return out.startsWith("-") && out.endsWith("\r\n") && out.indexOf("\r\n") == out.length() - 2 ? null
+        return out.startsWith("-") && out.endsWith("\r\n") && out.indexOf("\r\n") == out.length() - 2
+                ? null
                 : "answered '" + out.strip() + "'";
     }
 
@@ -168,7 +195,9 @@
         };
         for (Object[] c : cases) {
             JSONObject top = new JSONObject(good());
-            List<List<Object>> named = places(top, List.of()).stream().filter(p -> c[0].equals(p.get(p.size() - 1))).toList();
+            List<List<Object>> named = places(top, List.of()).stream()
+                    .filter(p -> c[0].equals(p.get(p.size() - 1)))
+                    .toList();
             String config = top.toString();
             for (List<Object> place : named) {
                 config = with(new JSONObject(config), place, c[1]);
--- a/balancer/src/test/java/baymoor/config/ConfigTest.java
+++ b/balancer/src/test/java/baymoor/config/ConfigTest.java
@@ -48,13 +48,19 @@
             {"\"max_attempts\":5", "\"max_attempts\":0", "settings.limits.max_attempts"},
             {"\"key_ttl\":0", "\"key_ttl\":-1", "settings.classes[0].key_ttl"},
             {"\"tenants\":[]", "\"tenants\":[{\"name\":\"a\",\"share\":-0.5}]", "settings.tenants[0].share"},
-            {"\"effect\":\"retryable\"}", "\"effect\":\"retryable\"},{\"name\":\"read\",\"hard_limit\":9}", "settings.classes[1].name"},
+            {
+                "\"effect\":\"retryable\"}",
+                "\"effect\":\"retryable\"},{\"name\":\"read\",\"hard_limit\":9}",
+                "settings.classes[1].name"
+            },
             {"{\"name\":\"n0\"", "{{", "not JSON"},
         };
         for (String[] c : cases) {
             assertTrue(c[0], GOOD.contains(c[0]));
             BadConfig e = assertThrows(c[1], BadConfig.class, () -> Config.parse(GOOD.replace(c[0], c[1]), Map.of()));
-            assertTrue(e.getMessage(), e.getMessage().contains(c[2]) && e.getMessage().lines().count() == 1);
+            assertTrue(
+                    e.getMessage(),
+                    e.getMessage().contains(c[2]) && e.getMessage().lines().count() == 1);
         }
     }
 }
--- a/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
+++ b/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
@@ -50,7 +50,7 @@
         void on(Event event, Sink sink);
     }
 
-    private Orders orders = (event, sink) -> { };
+    private Orders orders = (event, sink) -> {};
 
     public DispatcherTest() {
         Limits limits = new Limits(2, 0, false, true, true, true, true, 0, 250_000, 30_000_000, 32, 0, 0);
@@ -58,19 +58,36 @@
             heard.add(event);
             orders.on(event, sink);
         };
-        dispatcher = new Dispatcher(decisions, limits, List.of(kind("read", Effect.SAFE, 0), kind("keyed", Effect.KEYED, 200_000),
-                kind("once", Effect.UNSAFE, 0)), time, counters, line -> { });
+        dispatcher = new Dispatcher(
+                decisions,
+                limits,
+                List.of(
+                        kind("read", Effect.SAFE, 0),
+                        kind("keyed", Effect.KEYED, 200_000),
+                        kind("once", Effect.UNSAFE, 0)),
+                time,
+                counters,
+                line -> {});
         clients = new North(time, counters, Set.of("read", "keyed", "once"), dispatcher, 9, 9, 1 << 20, () -> "");
-        South south = new South((to, events) -> {
-            FakeLink link = new FakeLink();
-            link.events = events;
-            links.add(link);
-            return link;
-        }, time, counters, id -> id > 2 ? null
-                : new Inventory.Entry(id, new InetSocketAddress("127.0.0.1", 1), "t", State.RUNNING), "origin",
-                List.of(), limits, 9, dispatcher);
-        dispatcher.connect(clients, south, null, new Peers(List.of(), null, null, (to, bytes) -> { }, counters,
-                dispatcher::heard));
+        South south = new South(
+                (to, events) -> {
+                    FakeLink link = new FakeLink();
+                    link.events = events;
+                    links.add(link);
+                    return link;
+                },
+                time,
+                counters,
+                id -> id > 2
+                        ? null
+                        : new Inventory.Entry(id, new InetSocketAddress("127.0.0.1", 1), "t", State.RUNNING),
+                "origin",
+                List.of(),
+                limits,
+                9,
+                dispatcher);
+        dispatcher.connect(
+                clients, south, null, new Peers(List.of(), null, null, (to, bytes) -> {}, counters, dispatcher::heard));
         client.events = clients.client(client);
     }
 
@@ -80,8 +97,12 @@
 
     private String ends() {
         time.pass(0);
-        return heard.stream().filter(e -> e instanceof AttemptEnded).map(e -> (AttemptEnded) e)
-                .map(e -> e.attempt() + " " + e.outcome() + (e.done() ? " done" : "")).toList().toString();
+        return heard.stream()
+                .filter(e -> e instanceof AttemptEnded)
+                .map(e -> (AttemptEnded) e)
+                .map(e -> e.attempt() + " " + e.outcome() + (e.done() ? " done" : ""))
+                .toList()
+                .toString();
     }
 
     @Test
@@ -104,7 +125,12 @@
         orders = (event, sink) -> {
             if (event instanceof Request r) {
                 sink.accept(new Send(r.id(), 9, 0));
-                assertEquals("[]", heard.stream().filter(e -> e instanceof AttemptEnded).toList().toString());
+                assertEquals(
+                        "[]",
+                        heard.stream()
+                                .filter(e -> e instanceof AttemptEnded)
+                                .toList()
+                                .toString());
             } else if (event instanceof AttemptEnded e && e.attempt() < 2) {
                 sink.accept(new Send(e.request(), 9, 0));
             }
@@ -156,7 +182,10 @@
         assertEquals("", links.get(0).takeOut());
         assertEquals("[0 NOT_SENT]", ends());
         client.in(GET.replace("i\r", "j\r"));
-        assertEquals("what it sent before is not taken up", 1, heard.stream().filter(e -> e instanceof Request).count());
+        assertEquals(
+                "what it sent before is not taken up",
+                1,
+                heard.stream().filter(e -> e instanceof Request).count());
     }
 
     /** Danger: the repeat waits for a connection, and begins when the servers drop no second copy any more. */
@@ -170,7 +199,8 @@
             }
         };
         String[][] cases = {
-            {"read", "250000", "begun"}, {"keyed", "150000", "begun"}, {"keyed", "250000", ""}, {"once", "0", ""}};
+            {"read", "250000", "begun"}, {"keyed", "150000", "begun"}, {"keyed", "250000", ""}, {"once", "0", ""}
+        };
         for (String[] c : cases) {
             int at = links.size();
             client.in(GET.replace("12\r\nc=read", c[0].length() + 8 + "\r\nc=" + c[0]));
@@ -180,7 +210,8 @@
             time.pass(Long.parseLong(c[1]) - 1);
             FakeLink second = links.get(at + 1);
             second.events.opened();
-            assertEquals(c[0] + " after " + c[1], !c[2].isEmpty(), !second.takeOut().isEmpty());
+            assertEquals(
+                    c[0] + " after " + c[1], !c[2].isEmpty(), !second.takeOut().isEmpty());
             second.events.written();
             second.events.closed();
             client.events.closed();
@@ -198,7 +229,9 @@
         assertEquals("-ERR failed\r\n", client.takeOut());
         dispatcher.accept(new SetTimer(7, 1000));
         time.pass(200_000);
-        assertTrue("the timer comes again", heard.stream().filter(e -> e instanceof TimerFired).count() > 2);
+        assertTrue(
+                "the timer comes again",
+                heard.stream().filter(e -> e instanceof TimerFired).count() > 2);
         assertTrue(counters.get(Count.DECISION_FAILURES) > 2);
     }
 }
--- a/balancer/src/test/java/baymoor/http/ResponseReaderTest.java
+++ b/balancer/src/test/java/baymoor/http/ResponseReaderTest.java
@@ -37,7 +37,10 @@
             {"HTTP/1.1 503 no\r\nContent-Length: 2\r\n\r\nnoHTTP", "503 no again +4"},
             {"HTTP/1.1 200 OK\r\n\r\nabc", "200 abc open last"},
             {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", "200 abc open cut"},
-            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n", "200 abcde again"},
+            {
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n",
+                "200 abcde again"
+            },
             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n", "!"},
             {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 none\r\n\r\n", "204  again"},
             {"HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\n", "!"},
@@ -48,14 +51,18 @@
         };
         for (String[] c : cases) {
             assertEquals(c[0], c[1], read(c[0], 1 << 20));
-            assertEquals("byte by byte: " + c[0], c[1].replaceAll(" \\+.*", ""), read(c[0], 1).replaceAll(" \\+.*", ""));
+            assertEquals(
+                    "byte by byte: " + c[0],
+                    c[1].replaceAll(" \\+.*", ""),
+                    read(c[0], 1).replaceAll(" \\+.*", ""));
         }
     }
 
     @Test
     public void aWatchIsTakenPieceByPiece() throws HttpException {
         ResponseReader reader = new ResponseReader(10);
-        reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\n{\"a\":1".getBytes(StandardCharsets.US_ASCII));
+        reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\n{\"a\":1"
+                .getBytes(StandardCharsets.US_ASCII));
         assertTrue(reader.headed());
         assertEquals(6, reader.takeBody().length);
         reader.feed("\r\n9\r\n12345678\n".getBytes(StandardCharsets.US_ASCII));
@@ -65,9 +72,10 @@
 
     @Test
     public void requestsAsTheyAreWritten() {
-        byte[] put = RequestWriter.request("PUT", "/" + RequestWriter.segment("a b/\u00e9"), "h:1", Map.of("X-A", "b"),
-                new byte[] {'v'});
-        assertEquals("PUT /a%20b%2F%C3%A9 HTTP/1.1\r\nHost: h:1\r\nX-A: b\r\nContent-Length: 1\r\n\r\nv",
+        byte[] put = RequestWriter.request(
+                "PUT", "/" + RequestWriter.segment("a b/\u00e9"), "h:1", Map.of("X-A", "b"), new byte[] {'v'});
+        assertEquals(
+                "PUT /a%20b%2F%C3%A9 HTTP/1.1\r\nHost: h:1\r\nX-A: b\r\nContent-Length: 1\r\n\r\nv",
                 new String(put, StandardCharsets.US_ASCII));
     }
 }
--- a/balancer/src/test/java/baymoor/inventory/AttendedAgentTest.java
+++ b/balancer/src/test/java/baymoor/inventory/AttendedAgentTest.java
@@ -26,13 +26,19 @@
     private final List<ServerList> told = new ArrayList<>();
     private final List<FakeLink> links = new ArrayList<>();
     private final List<Integer> ports = new ArrayList<>();
-    private final Discovery discovery = new Discovery(new InetSocketAddress("127.0.0.1", 1), (to, events) -> {
-        FakeLink link = new FakeLink();
-        link.events = events;
-        links.add(link);
-        ports.add(to.getPort());
-        return link;
-    }, time, inventory, counters, told::add);
+    private final Discovery discovery = new Discovery(
+            new InetSocketAddress("127.0.0.1", 1),
+            (to, events) -> {
+                FakeLink link = new FakeLink();
+                link.events = events;
+                links.add(link);
+                ports.add(to.getPort());
+                return link;
+            },
+            time,
+            inventory,
+            counters,
+            told::add);
 
     private static String entry(String name, String status) {
         return "{\"name\":\"" + name + "\",\"address\":\"127.0.0.1:7\",\"status\":\"" + status + "\"}";
@@ -89,7 +95,7 @@
     public void anAgentThatIsNotThereIsTriedCalmlyForEverAndSoonEnoughForTheGrace() {
         discovery.attend(GRACE);
         int seconds = 600;
-        for (long end = time.now() + seconds * 1_000_000L; time.now() < end;) {
+        for (long end = time.now() + seconds * 1_000_000L; time.now() < end; ) {
             last().events.closed();
             int before = links.size();
             long from = time.now();
--- a/balancer/src/test/java/baymoor/inventory/InventoryTest.java
+++ b/balancer/src/test/java/baymoor/inventory/InventoryTest.java
@@ -27,12 +27,18 @@
     private final Inventory inventory = new Inventory(millis -> millis * 1000 - 5_000, counters);
     private final List<ServerList> told = new ArrayList<>();
     private final List<FakeLink> links = new ArrayList<>();
-    private final Discovery discovery = new Discovery(new InetSocketAddress("127.0.0.1", 1), (to, events) -> {
-        FakeLink link = new FakeLink();
-        link.events = events;
-        links.add(link);
-        return link;
-    }, time, inventory, counters, told::add);
+    private final Discovery discovery = new Discovery(
+            new InetSocketAddress("127.0.0.1", 1),
+            (to, events) -> {
+                FakeLink link = new FakeLink();
+                link.events = events;
+                links.add(link);
+                return link;
+            },
+            time,
+            inventory,
+            counters,
+            told::add);
 
     private static String entry(String name, String status, long since) {
         return "{\"name\":\"" + name + "\",\"address\":\"127.0.0.1:7\",\"zone\":\"a\",\"type\":\"t\",\"group\":3,"
@@ -63,15 +69,28 @@
 
     @Test
     public void entriesBecomeServersOfTheModule() {
-        Server s = inventory.told(list(4, true, entry("s-a", "in_service", 9))).servers().get(0);
+        Server s = inventory
+                .told(list(4, true, entry("s-a", "in_service", 9)))
+                .servers()
+                .get(0);
         assertEquals(new Server(Inventory.hash("s-a"), 1.5, "t", State.RUNNING, "a", 4_000, 3), s);
-        assertEquals(0, inventory.told(list(5, false, entry("s-a", "in_service", 0))).servers().get(0).startedMicros());
+        assertEquals(
+                0,
+                inventory
+                        .told(list(5, false, entry("s-a", "in_service", 0)))
+                        .servers()
+                        .get(0)
+                        .startedMicros());
         assertNotEquals(Inventory.hash("s-a"), Inventory.hash("s-b"));
     }
 
     @Test
     public void whoIsAbsentFromAWholeListIsGone() {
-        long a = inventory.told(list(1, true, entry("s-a", "in_service", 0))).servers().get(0).id();
+        long a = inventory
+                .told(list(1, true, entry("s-a", "in_service", 0)))
+                .servers()
+                .get(0)
+                .id();
         inventory.told(list(2, false, entry("s-b", "terminating", 0)));
         assertEquals(State.RUNNING, inventory.entry(a).state());
         assertEquals(State.DRAINING, inventory.entry(Inventory.hash("s-b")).state());
@@ -81,7 +100,11 @@
 
     @Test
     public void whoIsGoneIsForgottenOnceNothingUsesIt() {
-        long a = inventory.told(list(1, true, entry("s-a", "in_service", 0))).servers().get(0).id();
+        long a = inventory
+                .told(list(1, true, entry("s-a", "in_service", 0)))
+                .servers()
+                .get(0)
+                .id();
         inventory.told(list(2, true, entry("s-b", "in_service", 0)));
         inventory.forget(id -> id == a);
         assertEquals(State.GONE, inventory.entry(a).state());
@@ -94,7 +117,12 @@
     public void anEntryThatCannotBeReadCostsNoOtherOne() {
         String odd = entry("s-b", "dancing", 0) + "," + entry("", "in_service", 0) + ",7,"
                 + entry("s-c", "in_service", 0).replace("127.0.0.1:7", "somewhere:7");
-        assertEquals(1, inventory.told(list(1, true, odd, entry("s-a", "in_service", 0))).servers().size());
+        assertEquals(
+                1,
+                inventory
+                        .told(list(1, true, odd, entry("s-a", "in_service", 0)))
+                        .servers()
+                        .size());
         assertEquals(4, counters.get(Count.INVENTORY_BAD));
     }
 
@@ -102,7 +130,8 @@
     public void aWatchTellsChangesInAnyPieces() {
         FakeLink link = watch();
         assertTrue(link.takeOut().startsWith("GET /v1/servers?watch=1&from=0 HTTP/1.1\r\n"));
-        String text = chunk(list(1, true, entry("s-a", "in_service", 0)) + "\n") + chunk("\n")
+        String text = chunk(list(1, true, entry("s-a", "in_service", 0)) + "\n")
+                + chunk("\n")
                 + chunk(list(2, false, entry("s-a", "terminating", 0)) + "\n");
         for (char c : text.toCharArray()) {
             link.in(String.valueOf(c));
@@ -215,8 +244,14 @@
     public void anObjectThatWasCutOffEndsWhereTheNextBegins() {
         String cut = list(8, false, entry("s-a", "terminating", 0));
         String[] spoilt = {
-            cut.substring(0, 20) + "\n", cut.substring(0, 40) + "\n", cut.substring(0, cut.length() - 2) + "\n",
-            cut.substring(0, cut.length() - 1) + "\n\n", "}\n", "null\n", list(17, false) + "}\n"};
+            cut.substring(0, 20) + "\n",
+            cut.substring(0, 40) + "\n",
+            cut.substring(0, cut.length() - 2) + "\n",
+            cut.substring(0, cut.length() - 1) + "\n\n",
+            "}\n",
+            "null\n",
+            list(17, false) + "}\n"
+        };
         FakeLink link = watch();
         int version = 10;
         for (String text : spoilt) {
--- a/balancer/src/test/java/baymoor/net/DecisionThreadTest.java
+++ b/balancer/src/test/java/baymoor/net/DecisionThreadTest.java
@@ -17,7 +17,7 @@
     @Test
     public void tasksAndTimersRunInOrderAndAFailureIsOutlived() throws InterruptedException {
         Counters counters = new Counters();
-        DecisionThread thread = new DecisionThread(counters, line -> { });
+        DecisionThread thread = new DecisionThread(counters, line -> {});
         List<String> seen = new CopyOnWriteArrayList<>();
         CountDownLatch end = new CountDownLatch(1);
         thread.post(() -> {
@@ -44,7 +44,7 @@
 
     @Test
     public void whatCameInWhileTheThreadWasHeldUpIsToldBeforeTheTimersThatFellDueAfterIt() throws InterruptedException {
-        DecisionThread thread = new DecisionThread(new Counters(), line -> { });
+        DecisionThread thread = new DecisionThread(new Counters(), line -> {});
         List<String> seen = new CopyOnWriteArrayList<>();
         CountDownLatch end = new CountDownLatch(1);
         thread.post(() -> {
@@ -67,10 +67,10 @@
     /** Danger: a waiter that spins till another thread goes on holds the program up where one thread runs at a time. */
     @Test
     public void itWaitsOnAMonitorAndInNoQueueThatSpins() throws InterruptedException {
-        DecisionThread thread = new DecisionThread(new Counters(), line -> { });
+        DecisionThread thread = new DecisionThread(new Counters(), line -> {});
         CountDownLatch begun = new CountDownLatch(1);
         thread.post(() -> {
-            thread.after(60_000_000, () -> { });
+            thread.after(60_000_000, () -> {});
             begun.countDown();
         });
         Thread runner = new Thread(thread);
--- a/balancer/src/test/java/baymoor/net/GateTest.java
+++ b/balancer/src/test/java/baymoor/net/GateTest.java
@@ -23,7 +23,7 @@
     /** Danger: a crowd is accepted faster than room is made for it, until no descriptor is left to call anybody with. */
     @Test
     public void whoIsPastTheBoundWaitsUntilAConnectionIsOver() throws Exception {
-        DecisionThread thread = new DecisionThread(new Counters(), line -> { });
+        DecisionThread thread = new DecisionThread(new Counters(), line -> {});
         MinaNet net = new MinaNet(thread, 3);
         new Thread(thread, "decisions").start();
         BlockingQueue<Link> links = new LinkedBlockingQueue<>();
@@ -31,16 +31,16 @@
             links.add(link);
             return new LinkEvents() {
                 @Override
-                public void opened() { }
+                public void opened() {}
 
                 @Override
-                public void received(byte[] bytes) { }
+                public void received(byte[] bytes) {}
 
                 @Override
-                public void written() { }
+                public void written() {}
 
                 @Override
-                public void closed() { }
+                public void closed() {}
             };
         });
         long begun = System.nanoTime();
--- a/balancer/src/test/java/baymoor/net/MinaLinkTest.java
+++ b/balancer/src/test/java/baymoor/net/MinaLinkTest.java
@@ -24,12 +24,13 @@
 public class MinaLinkTest {
 
     private static final int PATIENCE_SECONDS = 20;
-    private final DecisionThread thread = new DecisionThread(new Counters(), line -> { });
+    private final DecisionThread thread = new DecisionThread(new Counters(), line -> {});
     private final MinaNet net = new MinaNet(thread);
     private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
     private final BlockingQueue<Link> links = new LinkedBlockingQueue<>();
     /** What is done on the decision thread as bytes are told. */
-    private volatile Consumer<String> act = text -> { };
+    private volatile Consumer<String> act = text -> {};
+
     private Socket client;
     private Link link;
 
@@ -40,7 +41,7 @@
             links.add(l);
             return new LinkEvents() {
                 @Override
-                public void opened() { }
+                public void opened() {}
 
                 @Override
                 public void received(byte[] bytes) {
@@ -50,7 +51,7 @@
                 }
 
                 @Override
-                public void written() { }
+                public void written() {}
 
                 @Override
                 public void finished() {
@@ -97,7 +98,7 @@
     @Test
     public void whatCameInBeforeTheEndIsToldAndTheConnectionStays() throws Exception {
         act = text -> {
-            act = more -> { };
+            act = more -> {};
             send("b");
             untilUnread();
             link.finish(false);
@@ -148,7 +149,7 @@
     @Test
     public void anEndInAnyCaseWaitsForNothingThatCameIn() throws Exception {
         act = text -> {
-            act = more -> { };
+            act = more -> {};
             send("b");
             untilUnread();
             link.write(new byte[] {'x'});
--- a/balancer/src/test/java/baymoor/north/NorthTest.java
+++ b/balancer/src/test/java/baymoor/north/NorthTest.java
@@ -19,22 +19,30 @@
     private final List<Taken> taken = new ArrayList<>();
     private final List<Long> gone = new ArrayList<>();
     private final FakeLink link = new FakeLink();
-    private final North north = new North(time, new Counters(), Set.of("read"), new Intake() {
-        @Override
-        public void taken(long ticket, Taken request) {
-            taken.add(request);
-        }
-
-        @Override
-        public void gone(long ticket) {
-            gone.add(ticket);
-        }
-
-        @Override
-        public boolean open(String id) {
-            return id.equals("open");
-        }
-    }, 2, 200, 1 << 20, () -> "requests:1\n");
+    private final North north = new North(
+            time,
+            new Counters(),
+            Set.of("read"),
+            new Intake() {
+                @Override
+                public void taken(long ticket, Taken request) {
+                    taken.add(request);
+                }
+
+                @Override
+                public void gone(long ticket) {
+                    gone.add(ticket);
+                }
+
+                @Override
+                public boolean open(String id) {
+                    return id.equals("open");
+                }
+            },
+            2,
+            200,
+            1 << 20,
+            () -> "requests:1\n");
 
     @Before
     public void connect() {
--- a/balancer/src/test/java/baymoor/peers/PeersTest.java
+++ b/balancer/src/test/java/baymoor/peers/PeersTest.java
@@ -19,7 +19,12 @@
     public void numbersAreAddressesAndWhatIsTooLongOrForeignIsDropped() {
         List<String> seen = new ArrayList<>();
         Counters counters = new Counters();
-        Peers peers = new Peers(List.of(A, B), null, ALL, (to, bytes) -> seen.add("to " + to.getPort()), counters,
+        Peers peers = new Peers(
+                List.of(A, B),
+                null,
+                ALL,
+                (to, bytes) -> seen.add("to " + to.getPort()),
+                counters,
                 (from, bytes) -> seen.add("from " + from));
         peers.tell(1, new byte[256]);
         peers.tell(-1, new byte[1]);
--- a/balancer/src/test/java/baymoor/resp/RespReaderTest.java
+++ b/balancer/src/test/java/baymoor/resp/RespReaderTest.java
@@ -32,11 +32,15 @@
 
     private static String show(Resp r) {
         if (r instanceof Resp.Many m) {
-            return m.items() == null ? "[null]" : m.items().stream().map(RespReaderTest::show).toList().toString();
+            return m.items() == null
+                    ? "[null]"
+                    : m.items().stream().map(RespReaderTest::show).toList().toString();
         }
-        return r instanceof Resp.Bulk b ? b.bytes() == null ? "null" : new String(b.bytes(), StandardCharsets.ISO_8859_1)
-                : r instanceof Resp.Simple s ? "+" + s.text() : r instanceof Resp.Failure f ? "-" + f.text()
-                : ":" + ((Resp.Whole) r).number();
+        return r instanceof Resp.Bulk b
+                ? b.bytes() == null ? "null" : new String(b.bytes(), StandardCharsets.ISO_8859_1)
+                : r instanceof Resp.Simple s
+                        ? "+" + s.text()
+                        : r instanceof Resp.Failure f ? "-" + f.text() : ":" + ((Resp.Whole) r).number();
     }
 
     @Test
--- a/balancer/src/test/java/baymoor/serve/LogTest.java
+++ b/balancer/src/test/java/baymoor/serve/LogTest.java
@@ -24,7 +24,8 @@
 
     @Test
     public void aLineForPeopleHasTimeLevelInstanceAndEvent() {
-        assertEquals("2026-01-02T03:04:05.678Z INFO n3 config detail=\"read again\"", said(false, "config: read again"));
+        assertEquals(
+                "2026-01-02T03:04:05.678Z INFO n3 config detail=\"read again\"", said(false, "config: read again"));
     }
 
     @Test
@@ -42,12 +43,22 @@
 
     @Test
     public void everyTimeHasSecondsAndMilliseconds() {
-        for (String time : new String[] {"2026-01-02T03:04:00.000Z", "2026-01-02T03:04:05.000Z", "2026-01-02T03:04:05.010Z",
-            "1969-12-31T23:59:59.999Z"}) {
+        for (String time : new String[] {
+            "2026-01-02T03:04:00.000Z",
+            "2026-01-02T03:04:05.000Z",
+            "2026-01-02T03:04:05.010Z",
+            "1969-12-31T23:59:59.999Z"
+        }) {
             out.reset();
-            new Log(new PrintStream(out, true, StandardCharsets.UTF_8), Clock.fixed(Instant.parse(time), ZoneOffset.UTC),
-                    "n", false).accept("a: b");
-            assertEquals(time + " INFO n a detail=b", out.toString(StandardCharsets.UTF_8).trim());
+            new Log(
+                            new PrintStream(out, true, StandardCharsets.UTF_8),
+                            Clock.fixed(Instant.parse(time), ZoneOffset.UTC),
+                            "n",
+                            false)
+                    .accept("a: b");
+            assertEquals(
+                    time + " INFO n a detail=b",
+                    out.toString(StandardCharsets.UTF_8).trim());
         }
     }
 }
--- a/balancer/src/test/java/baymoor/serve/RehearsalTest.java
+++ b/balancer/src/test/java/baymoor/serve/RehearsalTest.java
@@ -58,10 +58,12 @@
     public void aLongListBeforeTheLimitsCostsNoMoreThanItsLength() throws Exception {
         Path file = Files.createTempFile("config", ".json");
         for (String between : new String[] {"", "\n "}) {
-            String router = between + "{\"name\":\"s-0444a832\"," + between + "\"address\":\"127.11.0.2:6379\"," + between
-                    + "\"status\":\"in_service\"," + between + "\"zone\":\"* [a-z]? memory\"}";
-            Files.writeString(file, "{\"known\":{\"endpoints\":[" + String.join(",", Collections.nCopies(5_000, router))
-                    + "]}," + between + "\"limits\":{\"memory_mb\":128}}");
+            String router = between + "{\"name\":\"s-0444a832\"," + between + "\"address\":\"127.11.0.2:6379\","
+                    + between + "\"status\":\"in_service\"," + between + "\"zone\":\"* [a-z]? memory\"}";
+            Files.writeString(
+                    file,
+                    "{\"known\":{\"endpoints\":[" + String.join(",", Collections.nCopies(5_000, router)) + "]},"
+                            + between + "\"limits\":{\"memory_mb\":128}}");
             assertEquals("-Xms48m -Xmx66m", heap(file.toString()));
         }
         Files.delete(file);
@@ -79,9 +81,17 @@
     @Test
     public void theStartLineIsOneProcess() throws Exception {
         String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-                .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
-        for (String words : new String[] {run, String.join("\n", Files.readAllLines(Path.of("deploy/heap.sh")).stream()
-                .filter(line -> !line.startsWith("#")).toList())}) {
+                .filter(line -> line.startsWith("run = "))
+                .findFirst()
+                .orElseThrow();
+        for (String words : new String[] {
+            run,
+            String.join(
+                    "\n",
+                    Files.readAllLines(Path.of("deploy/heap.sh")).stream()
+                            .filter(line -> !line.startsWith("#"))
+                            .toList())
+        }) {
             assertFalse(words, words.contains("$(") && !words.contains("$((") || words.contains("`"));
             String plain = words.replace("||", "").replace("&&", "").replace("'' | 0*)", "");
             assertFalse(words, plain.contains("|") || plain.contains("&"));
--- a/balancer/src/test/java/baymoor/south/SouthTest.java
+++ b/balancer/src/test/java/baymoor/south/SouthTest.java
@@ -37,13 +37,20 @@
     private South south(int mostLanes) {
         list(ROUTER, "two-core", State.RUNNING);
         list(ORIGIN, "origin", State.RUNNING);
-        return new South((to, events) -> {
-            FakeLink link = new FakeLink();
-            link.events = events;
-            links.add(link);
-            return link;
-        }, time, counters, inventory::get, "origin", List.of(),
-                new Limits(5, 0, false, true, true, true, true, 0, 250_000, 30_000_000, 32, 0, 0), mostLanes,
+        return new South(
+                (to, events) -> {
+                    FakeLink link = new FakeLink();
+                    link.events = events;
+                    links.add(link);
+                    return link;
+                },
+                time,
+                counters,
+                inventory::get,
+                "origin",
+                List.of(),
+                new Limits(5, 0, false, true, true, true, true, 0, 250_000, 30_000_000, 32, 0, 0),
+                mostLanes,
                 new South.Ends() {
                     @Override
                     public void relayEnded(String request, int attempt, long host, Reply reply, long latencyMicros) {
@@ -64,7 +71,12 @@
 
     private FakeLink send(String request, long host, byte[] value) {
         int before = links.size();
-        south.send(request, 0, host, new Parcel("k", request, Map.of("d", "9"), value), time.now() + 800_000,
+        south.send(
+                request,
+                0,
+                host,
+                new Parcel("k", request, Map.of("d", "9"), value),
+                time.now() + 800_000,
                 () -> !unwanted.contains(request));
         return links.size() > before ? links.get(before) : null;
     }
@@ -207,8 +219,10 @@
             {"HTTP/1.1 503 no\r\nX-Unprocessed: 1\r\n" + none, "r FULL"},
             {"HTTP/1.1 504 no\r\nX-Unprocessed: 1\r\n" + none, "r FULL"},
             {"HTTP/1.1 503 no\r\n" + none, "r ERROR"},
-            {"HTTP/1.1 100 go on\r\n\r\nHTTP/1.1 102 yes\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv",
-                "r SERVED v"},
+            {
+                "HTTP/1.1 100 go on\r\n\r\nHTTP/1.1 102 yes\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv",
+                "r SERVED v"
+            },
             {"HTTP/1.1 200 OK\r\nX-Backend-Load: {{=,\r\nContent-Length: 1\r\n\r\nv", "r SERVED v"},
             {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nv", "r ERROR"},
             {"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\nv", "r ERROR"},
--- a/balancer/src/test/java/merlinstep/ColdRampTest.java
+++ b/balancer/src/test/java/merlinstep/ColdRampTest.java
@@ -32,19 +32,27 @@
     private static final int CACHES = 8;
     /** Calls a second that a warm cache takes in quiet times. */
     private static final double USUAL = 20;
+
     private static final double CAPACITY = USUAL / 0.55;
     /** A cold cache has 0.13 of that at first, is warm after 23 s, and falls after 3 s of 1.5 times what it can do. */
     private static final RuleFigures RULES =
             new RuleFigures(20_000, 500_000, 10_000_000, 0.13, 23_000_000, 1.5, 3_000_000);
 
-    private record Later(long at, int number, Runnable what) { }
+    private record Later(long at, int number, Runnable what) {}
 
     /** What befalls the tier. */
-    private enum Trouble { NONE, BURST, RESTARTED, SILENT, HALF_REPLACED, MISSES }
+    private enum Trouble {
+        NONE,
+        BURST,
+        RESTARTED,
+        SILENT,
+        HALF_REPLACED,
+        MISSES
+    }
 
     private final List<Timeline> tier = new ArrayList<>();
-    private final PriorityQueue<Later> later = new PriorityQueue<>(Comparator.comparingLong(Later::at)
-            .thenComparingInt(Later::number));
+    private final PriorityQueue<Later> later =
+            new PriorityQueue<>(Comparator.comparingLong(Later::at).thenComparingInt(Later::number));
     private final List<Deque<Long>> sent = new ArrayList<>();
     private Random chance;
     private Trouble trouble;
@@ -73,7 +81,9 @@
                     after(left, () -> act(me, tier.get(me).end(send, Outcome.TIMED_OUT)));
                 } else {
                     boolean miss = toCold && trouble == Trouble.MISSES;
-                    after(miss ? ANSWER / 3 : ANSWER, () -> act(me, tier.get(me).end(send, miss ? Outcome.MISS : Outcome.SERVED)));
+                    after(
+                            miss ? ANSWER / 3 : ANSWER,
+                            () -> act(me, tier.get(me).end(send, miss ? Outcome.MISS : Outcome.SERVED)));
                 }
             } else if (action instanceof TellPeer told) {
                 for (int to = 0; to < tier.size(); to++) {
@@ -144,7 +154,7 @@
 
     private void run(int seconds, double times) {
         double each = times * USUAL * CACHES / tier.size() * STEP / 1e6;
-        for (long end = now() + seconds * Timeline.SECOND; now() < end;) {
+        for (long end = now() + seconds * Timeline.SECOND; now() < end; ) {
             for (int i = 0; i < tier.size(); i++) {
                 act(i, tier.get(i).pass(STEP));
             }
@@ -172,7 +182,12 @@
                     worst = Math.max(worst, most(balancers, what, 100 * balancers + seed));
                 }
                 all &= worst <= 1;
-                table.append(what).append(' ').append(balancers).append(" balancers: ").append(worst).append('\n');
+                table.append(what)
+                        .append(' ')
+                        .append(balancers)
+                        .append(" balancers: ")
+                        .append(worst)
+                        .append('\n');
             }
         }
         assertTrue(table.toString(), all);
--- a/balancer/src/test/java/merlinstep/LedgerTest.java
+++ b/balancer/src/test/java/merlinstep/LedgerTest.java
@@ -133,11 +133,43 @@
     private static Decisions.Settings cpu(int balancers) {
         Decisions.Settings s = Timeline.settings(0, balancers, 6);
         Decisions.Limits l = s.limits();
-        Decisions.Limits limits = new Decisions.Limits(l.maxAttempts(), l.maxOpen(), l.secondCopies(), l.mayCancel(),
-                l.mayProbe(), l.mayTellPeers(), l.retryAfter(), l.maxRetryAfterMicros(), l.connectTimeoutMicros(),
-                l.idleCloseMicros(), l.streamsPerConnection(), 15_000, 0);
-        return new Decisions.Settings(0, balancers, 1, s.zone(), s.zones(), s.kinds(), s.tiers(), 0, s.classes(),
-                s.tenants(), s.membership(), s.origin(), limits, s.rules(), s.prices(), s.goal(), s.reports(),
-                s.reportFields(), s.weights(), false, 0.1, false, 5_000);
+        Decisions.Limits limits = new Decisions.Limits(
+                l.maxAttempts(),
+                l.maxOpen(),
+                l.secondCopies(),
+                l.mayCancel(),
+                l.mayProbe(),
+                l.mayTellPeers(),
+                l.retryAfter(),
+                l.maxRetryAfterMicros(),
+                l.connectTimeoutMicros(),
+                l.idleCloseMicros(),
+                l.streamsPerConnection(),
+                15_000,
+                0);
+        return new Decisions.Settings(
+                0,
+                balancers,
+                1,
+                s.zone(),
+                s.zones(),
+                s.kinds(),
+                s.tiers(),
+                0,
+                s.classes(),
+                s.tenants(),
+                s.membership(),
+                s.origin(),
+                limits,
+                s.rules(),
+                s.prices(),
+                s.goal(),
+                s.reports(),
+                s.reportFields(),
+                s.weights(),
+                false,
+                0.1,
+                false,
+                5_000);
     }
 }
--- a/balancer/src/test/java/merlinstep/RulesTest.java
+++ b/balancer/src/test/java/merlinstep/RulesTest.java
@@ -219,7 +219,8 @@
             t.pass(2_000);
         }
         assertTrue(turnedAway < 25, turnedAway + " turned away");
-        assertTrue(of(t.actions, Send.class).stream().filter(s -> s.server() == 2).count() >= 50, "the other serves");
+        assertTrue(
+                of(t.actions, Send.class).stream().filter(s -> s.server() == 2).count() >= 50, "the other serves");
     }
 
     @Test
@@ -230,13 +231,16 @@
             onlySend(t.read("out" + i, i));
         }
         assertEquals(List.of(), sends(t.read("parked", 99)));
-        assertEquals(1, of(t.pass(700_000), Refuse.class).stream()
-                .filter(r -> r.request().equals("parked")).count());
+        assertEquals(
+                1,
+                of(t.pass(700_000), Refuse.class).stream()
+                        .filter(r -> r.request().equals("parked"))
+                        .count());
     }
 
     /** A key whose slot belongs to this one of two caches. */
     private static long keyOf(long server) {
-        for (int i = 1;; i++) {
+        for (int i = 1; ; i++) {
             if (onlySend(Timeline.with(0, 1, 2).read("r", Hash.mix(i))).server() == server) {
                 return Hash.mix(i);
             }
@@ -307,7 +311,10 @@
     }
 
     @ParameterizedTest
-    @EnumSource(value = Outcome.class, names = {"SERVED", "NOT_SENT"}, mode = EnumSource.Mode.EXCLUDE)
+    @EnumSource(
+            value = Outcome.class,
+            names = {"SERVED", "NOT_SENT"},
+            mode = EnumSource.Mode.EXCLUDE)
     void anUnsafeRequestIsRepeatedOrRefusedOnlyIfNothingRan(Outcome outcome) {
         Timeline t = Timeline.with(0, 1, 3);
         Send ask = onlySend(t.request("u", "once", 7, false));
@@ -344,7 +351,8 @@
             List<Action> after = new ArrayList<>(t.end(first, Outcome.ERROR));
             after.addAll(t.pass(100_000));
             for (Send again : sends(after)) {
-                boolean same = kind.equals("zoned") ? first.server() % 2 == again.server() % 2
+                boolean same = kind.equals("zoned")
+                        ? first.server() % 2 == again.server() % 2
                         : first.server() / 3 == again.server() / 3;
                 assertTrue(same, first + " then " + again);
                 t.end(again, Outcome.SERVED);
@@ -381,7 +389,8 @@
             String[] kinds = {"read", "write", "zoned", "celled", "once", "nobody"};
             String kind = kinds[random.nextInt(kinds.length)];
             owed.add(id);
-            List<Action> actions = new ArrayList<>(t.request(id, kind, Hash.mix(random.nextInt(30)), random.nextBoolean()));
+            List<Action> actions =
+                    new ArrayList<>(t.request(id, kind, Hash.mix(random.nextInt(30)), random.nextBoolean()));
             actions.addAll(t.pass(random.nextInt(9_000)));
             for (int e = 0; e < 2 && !open.isEmpty(); e++) {
                 Send send = open.remove(random.nextInt(open.size()));
@@ -447,7 +456,10 @@
     }
 
     private static void tell(Timeline t, int from, int sequence, long cache, int out) {
-        byte[] loads = ByteBuffer.allocate(3).putShort((short) Loads.tag(cache)).put((byte) out).array();
+        byte[] loads = ByteBuffer.allocate(3)
+                .putShort((short) Loads.tag(cache))
+                .put((byte) out)
+                .array();
         Figures quiet = new Figures(0, 100, 0, 0, 0, 0, 5, 0, 0, 0, 0, 0);
         t.event(new PeerMessage(from, quiet.encode(from, sequence, loads)));
         t.pass(60_000);
@@ -472,8 +484,8 @@
 
     /** Peers of a large fleet are heard, each with so many misses queued; one round takes the time given. */
     private static void round(Timeline t, int balancers, int sequence, int queue, long micros) {
-        Figures f = new Figures(t.rules.ledger.period, t.rules.ledger.positionMillis(), 0, queue, 6.7f, 0, 5, 0,
-                100, 0, 0, 0);
+        Figures f = new Figures(
+                t.rules.ledger.period, t.rules.ledger.positionMillis(), 0, queue, 6.7f, 0, 5, 0, 100, 0, 0, 0);
         for (int from = 1; from < balancers; from++) {
             t.event(new PeerMessage(from, f.encode(from, sequence, Loads.NONE)));
         }
@@ -486,7 +498,9 @@
         int fetched = 0;
         for (int i = 0; i < 20; i++) {
             for (int r = 0; r < 4; r++) round(t, 100, 5 * i + r + 1, 2, SECOND / 2);
-            assertTrue(t.rules.ledger.contended, "round " + i + " X " + t.rules.budget.effective() + " " + t.rules.peers.refresh());
+            assertTrue(
+                    t.rules.ledger.contended,
+                    "round " + i + " X " + t.rules.budget.effective() + " " + t.rules.peers.refresh());
             t.end(onlySend(t.read("r" + i, 1000 + i)), Outcome.MISS);
             round(t, 100, 5 * i + 5, 2, 250_000);
             List<Send> sends = sends(t.actions);
@@ -526,15 +540,27 @@
     @Test
     void whatCannotBeBackInTimeIsRefusedAtOnceAndNeverSent() {
         Timeline t = Timeline.with(0, 1, 3);
-        List<Decisions.Action> late = t.event(new Decisions.Request("late", "read", "t", true, 7, t.now + 100_000, 0, 0,
-                true, false)); // an answer is taken to need 200 ms till some have come
+        List<Decisions.Action> late = t.event(new Decisions.Request(
+                "late",
+                "read",
+                "t",
+                true,
+                7,
+                t.now + 100_000,
+                0,
+                0,
+                true,
+                false)); // an answer is taken to need 200 ms till some have come
         assertEquals(List.of(), sends(late));
         assertEquals("late", Timeline.of(late, Decisions.Refuse.class).get(0).request());
-        Send send = onlySend(t.event(new Decisions.Request("soon", "read", "t", true, 7, t.now + 300_000, 0, 0, true, false)));
+        Send send = onlySend(
+                t.event(new Decisions.Request("soon", "read", "t", true, 7, t.now + 300_000, 0, 0, true, false)));
         assertEquals("soon", send.request());
         t.end(send, Outcome.MISS); // a write is worth its fetch however little time there is
-        assertEquals(1, sends(t.event(new Decisions.Request("w", "write", "t", true, 8, t.now + 100_000, 0, 0, false,
-                true))).size());
+        assertEquals(
+                1,
+                sends(t.event(new Decisions.Request("w", "write", "t", true, 8, t.now + 100_000, 0, 0, false, true)))
+                        .size());
     }
 
     @Test
@@ -543,12 +569,15 @@
         for (int i = 0; i < 400 && !sends(little(t, "a" + i)).isEmpty(); i++) {
             Send send = sends(t.actions).get(sends(t.actions).size() - 1);
             t.pass(400_000);
-            t.event(new Decisions.AttemptEnded("a" + i, 0, send.server(), Outcome.TIMED_OUT, 400_000, false, 0, new double[0]));
+            t.event(new Decisions.AttemptEnded(
+                    "a" + i, 0, send.server(), Outcome.TIMED_OUT, 400_000, false, 0, new double[0]));
             t.pass(100_000);
         }
         assertEquals("b", of(little(t, "b"), Refuse.class).get(0).request());
         t.pass(10 * SECOND);
-        for (int i = 0; i < 400 && sends(little(t, "c" + i)).isEmpty(); i++) { // a read with all its time goes on all the same
+        for (int i = 0;
+                i < 400 && sends(little(t, "c" + i)).isEmpty();
+                i++) { // a read with all its time goes on all the same
             t.end(onlySend(t.read("d" + i, i)), Outcome.SERVED);
             t.pass(100_000);
         }
@@ -566,8 +595,15 @@
             Timeline t = Timeline.with(0, 1, 3);
             for (int i = 0; i < 40; i++) {
                 Send write = onlySend(t.request("w" + i, "write", i, true));
-                t.event(new Decisions.AttemptEnded("w" + i, 0, write.server(), Outcome.TIMED_OUT, way == 0 ? 60_000
-                        : 900_000, true, 0, new double[0]));
+                t.event(new Decisions.AttemptEnded(
+                        "w" + i,
+                        0,
+                        write.server(),
+                        Outcome.TIMED_OUT,
+                        way == 0 ? 60_000 : 900_000,
+                        true,
+                        0,
+                        new double[0]));
                 t.pass(100_000);
             }
             x[way] = t.rules.budget.effective();
@@ -583,8 +619,19 @@
             for (int i = 1; i <= 12; i++) {
                 for (int from = 1; from < 100; from++) {
                     boolean busy = from == 7;
-                    Figures f = new Figures(t.rules.ledger.period, t.rules.ledger.positionMillis(), 0, busy ? queue : 0,
-                            busy ? 4 : 0, busy ? 0 : 1, 5, 0, 0, 2 * i, 100L * i, 0);
+                    Figures f = new Figures(
+                            t.rules.ledger.period,
+                            t.rules.ledger.positionMillis(),
+                            0,
+                            busy ? queue : 0,
+                            busy ? 4 : 0,
+                            busy ? 0 : 1,
+                            5,
+                            0,
+                            0,
+                            2 * i,
+                            100L * i,
+                            0);
                     t.event(new PeerMessage(from, f.encode(from, i, Loads.NONE)));
                 }
                 t.pass(SECOND / 2);
@@ -654,8 +701,10 @@
         for (int way = 0; way < 2; way++) {
             Timeline t = Timeline.with(0, 1, 1);
             for (int i = 0; i < 200; i++) {
-                Send send = onlySend(t.event(new Request("a" + i, "read", "t", true, i, t.now + gives[way], 0, 0, false, false)));
-                t.event(new Decisions.AttemptEnded(send.request(), 0, send.server(), Outcome.SERVED, 250_000, true, 1, new double[0]));
+                Send send = onlySend(
+                        t.event(new Request("a" + i, "read", "t", true, i, t.now + gives[way], 0, 0, false, false)));
+                t.event(new Decisions.AttemptEnded(
+                        send.request(), 0, send.server(), Outcome.SERVED, 250_000, true, 1, new double[0]));
                 t.pass(250_000);
             }
             for (int i = 0; i < 40; i++) {
@@ -677,7 +726,8 @@
         t.pass(650_000);
         t.request("young", "patient", 77, false);
         assertEquals("young", onlySend(t.end(out.get(0), Outcome.SERVED)).request());
-        assertEquals("old" + out.size(), onlySend(t.end(out.get(1), Outcome.SERVED)).request());
+        assertEquals(
+                "old" + out.size(), onlySend(t.end(out.get(1), Outcome.SERVED)).request());
     }
 
     @Test
@@ -834,10 +884,10 @@
     @Test
     void settingsOutOfRangeAreNamed() {
         assertThrows(IllegalArgumentException.class, () -> Decisions.start(null));
-        IllegalArgumentException e =
-                assertThrows(IllegalArgumentException.class, () -> Timeline.settings(2, 2, 6));
+        IllegalArgumentException e = assertThrows(IllegalArgumentException.class, () -> Timeline.settings(2, 2, 6));
         assertTrue(e.getMessage().contains("index"), e.getMessage());
-        assertTrue(assertThrows(IllegalArgumentException.class, () -> Timeline.settings(0, 2, 0)).getMessage()
+        assertTrue(assertThrows(IllegalArgumentException.class, () -> Timeline.settings(0, 2, 0))
+                .getMessage()
                 .contains("maxAttempts"));
     }
 
--- a/balancer/src/test/java/merlinstep/StoreLimitTest.java
+++ b/balancer/src/test/java/merlinstep/StoreLimitTest.java
@@ -27,7 +27,7 @@
     /** What leaves time enough for the miss before it, of an aim of 800 ms. */
     private static final long QUICK = 500_000;
 
-    private record Fetch(Send send, long sentMicros) { }
+    private record Fetch(Send send, long sentMicros) {}
 
     private final Timeline t = Timeline.with(0, 1, 3);
     private final Deque<Fetch> queue = new ArrayDeque<>();
@@ -36,7 +36,7 @@
     private int asked;
 
     /** Answers in a second and how many of them took no longer than half of the shortest aim. */
-    private record Second(int answered, int quick) { }
+    private record Second(int answered, int quick) {}
 
     /** A second of {@code misses} reads of as many keys, at a store that takes {@code serviceMicros} for each. */
     private Second second(int misses, long serviceMicros) {
@@ -65,7 +65,8 @@
                     told(f, Outcome.SERVED, t.now - f.sentMicros());
                 }
             }
-            while (!queue.isEmpty() && (work.size() < PLACES || t.now - queue.peek().sentMicros() >= DEADLINE)) {
+            while (!queue.isEmpty()
+                    && (work.size() < PLACES || t.now - queue.peek().sentMicros() >= DEADLINE)) {
                 Fetch f = queue.remove();
                 if (t.now - f.sentMicros() >= DEADLINE) { // nobody waits for it any more
                     told(f, Outcome.TIMED_OUT, DEADLINE);
@@ -79,8 +80,15 @@
     }
 
     private void told(Fetch f, Outcome outcome, long latencyMicros) {
-        open.addAll(Timeline.sends(t.event(new AttemptEnded(f.send().request(), 1, Timeline.ORIGIN, outcome, latencyMicros,
-                outcome == Outcome.SERVED, 0, new double[0]))));
+        open.addAll(Timeline.sends(t.event(new AttemptEnded(
+                f.send().request(),
+                1,
+                Timeline.ORIGIN,
+                outcome,
+                latencyMicros,
+                outcome == Outcome.SERVED,
+                0,
+                new double[0]))));
     }
 
     @Test
@@ -147,8 +155,19 @@
         int atOnce = 0;
         for (int i = 1; i <= 60; i++) {
             for (int from = 1; from < 100; from++) {
-                Figures f = new Figures(one.rules.ledger.period, one.rules.ledger.positionMillis(), 0, 0, 0, 1,
-                        chance.nextInt(1 << 16), 0, 120, i, 50L * i, 0);
+                Figures f = new Figures(
+                        one.rules.ledger.period,
+                        one.rules.ledger.positionMillis(),
+                        0,
+                        0,
+                        0,
+                        1,
+                        chance.nextInt(1 << 16),
+                        0,
+                        120,
+                        i,
+                        50L * i,
+                        0);
                 one.event(new PeerMessage(from, f.encode(from, i, Loads.NONE)));
             }
             one.pass(500_000 + chance.nextInt(400_000));
@@ -172,8 +191,19 @@
         int fetched = 0;
         for (int period = 0; period < 5; period++) {
             for (int from = 1; from < 100; from++) {
-                Figures f = new Figures(one.rules.ledger.period, one.rules.ledger.positionMillis(), 0, 0, 0, 1, from, 0, 900,
-                        period, 50L * period, 0);
+                Figures f = new Figures(
+                        one.rules.ledger.period,
+                        one.rules.ledger.positionMillis(),
+                        0,
+                        0,
+                        0,
+                        1,
+                        from,
+                        0,
+                        900,
+                        period,
+                        50L * period,
+                        0);
                 one.event(new PeerMessage(from, f.encode(from, period + 1, Loads.NONE)));
             }
             for (int miss = 0; miss < 8; miss++) { // nine credits a period and four places are each one's part
--- a/balancer/src/test/java/merlinstep/StyleTest.java
+++ b/balancer/src/test/java/merlinstep/StyleTest.java
@@ -15,13 +15,17 @@
 
     @Test
     void theModuleStaysShort() throws IOException {
-        long lines = Files.readAllLines(RULES).stream().filter(line -> !line.isBlank()).count();
+        long lines = Files.readAllLines(RULES).stream()
+                .filter(line -> !line.isBlank())
+                .count();
         assertTrue(lines <= 940, lines + " lines that are not blank");
     }
 
     @Test
     void itsLinesStayShort() throws IOException {
-        List<String> tooLong = Files.readAllLines(RULES).stream().filter(line -> line.length() > 110).toList();
+        List<String> tooLong = Files.readAllLines(RULES).stream()
+                .filter(line -> line.length() > 110)
+                .toList();
         assertTrue(tooLong.isEmpty(), tooLong.toString());
     }
 
--- a/balancer/src/test/java/merlinstep/TierCreditsTest.java
+++ b/balancer/src/test/java/merlinstep/TierCreditsTest.java
@@ -24,11 +24,11 @@
     private static final int STEP = 10_000;
     private static final long ANSWER = 30_000;
 
-    private record Later(long at, int number, Runnable what) { }
+    private record Later(long at, int number, Runnable what) {}
 
     private final List<Timeline> tier = new ArrayList<>();
-    private final PriorityQueue<Later> later = new PriorityQueue<>(Comparator.comparingLong(Later::at)
-            .thenComparingInt(Later::number));
+    private final PriorityQueue<Later> later =
+            new PriorityQueue<>(Comparator.comparingLong(Later::at).thenComparingInt(Later::number));
     private Random chance;
     private double loss;
     private int late;
@@ -50,7 +50,9 @@
                 for (int to = 0; to < tier.size(); to++) {
                     int peer = to;
                     if (peer != me && chance.nextDouble() >= loss) {
-                        after(chance.nextInt(late + 1), () -> act(peer, tier.get(peer).event(new PeerMessage(me, told.content()))));
+                        after(
+                                chance.nextInt(late + 1),
+                                () -> act(peer, tier.get(peer).event(new PeerMessage(me, told.content()))));
                     }
                 }
             }
@@ -75,7 +77,8 @@
                     later.poll().what().run();
                 }
                 for (int i = 0; i < balancers; i++) {
-                    if (chance.nextDouble() < misses * (i % 4 == 0 ? 3 : 1) * STEP / 1e6) { // some have more than others
+                    if (chance.nextDouble()
+                            < misses * (i % 4 == 0 ? 3 : 1) * STEP / 1e6) { // some have more than others
                         act(i, tier.get(i).read("r" + number++, chance.nextLong()));
                     }
                 }
@@ -100,7 +103,9 @@
                 loss = draw == 0 ? 0 : chance.nextDouble();
                 late = draw == 0 ? 8_000 : chance.nextInt(800_000);
                 double most = most(one[0], one[1], one[0] > 100 ? 3 : 6, draw != 1);
-                assertTrue(one[0] + " balancers, draw " + draw + ", loss " + loss + ", late by " + late + " us: " + most, most <= 1);
+                assertTrue(
+                        one[0] + " balancers, draw " + draw + ", loss " + loss + ", late by " + late + " us: " + most,
+                        most <= 1);
             }
         }
     }
--- a/balancer/src/test/java/merlinstep/Timeline.java
+++ b/balancer/src/test/java/merlinstep/Timeline.java
@@ -56,18 +56,62 @@
     /** The same where messages to others have a price: each tells once a second where they are many. */
     static Timeline withDearMessages(int index, int balancers, int caches) {
         Settings s = settings(index, balancers, 6);
-        Timeline t = new Timeline(new Settings(index, balancers, s.seed(), s.zone(), s.zones(), s.kinds(), s.tiers(), 0, s.classes(),
-                s.tenants(), s.membership(), s.origin(), s.limits(), s.rules(), new Prices(0, 0, 0, 0, 0, 0, 0, 0, 0.01, 0, 0),
-                s.goal(), s.reports(), s.reportFields(), s.weights(), false, 0.1, false, 5_000), 5 * SECOND);
+        Timeline t = new Timeline(
+                new Settings(
+                        index,
+                        balancers,
+                        s.seed(),
+                        s.zone(),
+                        s.zones(),
+                        s.kinds(),
+                        s.tiers(),
+                        0,
+                        s.classes(),
+                        s.tenants(),
+                        s.membership(),
+                        s.origin(),
+                        s.limits(),
+                        s.rules(),
+                        new Prices(0, 0, 0, 0, 0, 0, 0, 0, 0.01, 0, 0),
+                        s.goal(),
+                        s.reports(),
+                        s.reportFields(),
+                        s.weights(),
+                        false,
+                        0.1,
+                        false,
+                        5_000),
+                5 * SECOND);
         t.list(ListKind.LAST_KNOWN, servers(caches));
         return t;
     }
 
     /** Settings with other figures of the rules. */
     static Settings withRules(Settings s, RuleFigures rules) {
-        return new Settings(s.index(), s.balancers(), s.seed(), s.zone(), s.zones(), s.kinds(), s.tiers(), 0, s.classes(),
-                s.tenants(), s.membership(), s.origin(), s.limits(), rules, s.prices(), s.goal(), s.reports(),
-                s.reportFields(), s.weights(), false, 0.1, false, 5_000);
+        return new Settings(
+                s.index(),
+                s.balancers(),
+                s.seed(),
+                s.zone(),
+                s.zones(),
+                s.kinds(),
+                s.tiers(),
+                0,
+                s.classes(),
+                s.tenants(),
+                s.membership(),
+                s.origin(),
+                s.limits(),
+                rules,
+                s.prices(),
+                s.goal(),
+                s.reports(),
+                s.reportFields(),
+                s.weights(),
+                false,
+                0.1,
+                false,
+                5_000);
     }
 
     static List<Server> servers(int caches) {
@@ -95,13 +139,31 @@
                 new RequestClass("zoned", 900_000, 0, 2_500_000, Effect.KEYED, Group.ZONE, 5 * SECOND, 8, 0, false),
                 new RequestClass("celled", 900_000, 0, 2_500_000, Effect.KEYED, Group.CELL, 5 * SECOND, 8, 0, false),
                 new RequestClass("once", 900_000, 0, 2_500_000, Effect.UNSAFE, Group.ALL, 0, 3, 0, false));
-        return new Settings(index, balancers, 42 + index, "here", List.of("here", "there"), List.of("plain", "origin"),
-                List.of("tier"), 0, classes, tenants ? List.of(new Tenant("t", 1, 400)) : List.of(), membership,
+        return new Settings(
+                index,
+                balancers,
+                42 + index,
+                "here",
+                List.of("here", "there"),
+                List.of("plain", "origin"),
+                List.of("tier"),
+                0,
+                classes,
+                tenants ? List.of(new Tenant("t", 1, 400)) : List.of(),
+                membership,
                 new Origin(Mode.ASIDE, 1, 3, 3 * SECOND),
-                new Limits(maxAttempts, 20_000, false, true, false, true, true, 2 * SECOND, 150_000, 30 * SECOND, 1, 0, 0),
+                new Limits(
+                        maxAttempts, 20_000, false, true, false, true, true, 2 * SECOND, 150_000, 30 * SECOND, 1, 0, 0),
                 new RuleFigures(20_000, SECOND, 10 * SECOND, 0.3, 8 * SECOND, 3, SECOND),
-                new Prices(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0), new Goal(1, 0, 0, 0), Reports.NONE, List.of(),
-                Weights.NONE, false, 0.1, false, 5_000);
+                new Prices(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0),
+                new Goal(1, 0, 0, 0),
+                Reports.NONE,
+                List.of(),
+                Weights.NONE,
+                false,
+                0.1,
+                false,
+                5_000);
     }
 
     /** Hands one event in at the present time and gives the actions that it caused. */
@@ -147,8 +209,8 @@
 
     List<Action> end(Send send, Outcome outcome, int note) {
         boolean done = outcome == Outcome.SERVED;
-        return event(new AttemptEnded(send.request(), attempts++, send.server(), outcome, 30_000, done, note,
-                new double[0]));
+        return event(new AttemptEnded(
+                send.request(), attempts++, send.server(), outcome, 30_000, done, note, new double[0]));
     }
 
     static List<Send> sends(List<Action> actions) {
--- a/balancer/src/test/java/merlinstep/simhost/HostTest.java
+++ b/balancer/src/test/java/merlinstep/simhost/HostTest.java
@@ -13,16 +13,17 @@
 
 class HostTest {
 
-    private static final String ATTACH = "ATTACH\tbalancer=3\tnonce64=5\taz=a\tclasses.count=1\tclasses.0.effect=retryable"
-            + "\tclasses.0.group=all\tclasses.0.hard_limit=2500000\tclasses.0.name=view\tclasses.0.on_time=800000"
-            + "\textra.mode=aside\textra.origin_kind=1\tlimits.max_attempts=6\tme=0\tsiblings=1\tskus=std,origin"
-            + "\ttick=5000\tunknown.setting=7\n";
+    private static final String ATTACH =
+            "ATTACH\tbalancer=3\tnonce64=5\taz=a\tclasses.count=1\tclasses.0.effect=retryable"
+                    + "\tclasses.0.group=all\tclasses.0.hard_limit=2500000\tclasses.0.name=view\tclasses.0.on_time=800000"
+                    + "\textra.mode=aside\textra.origin_kind=1\tlimits.max_attempts=6\tme=0\tsiblings=1\tskus=std,origin"
+                    + "\ttick=5000\tunknown.setting=7\n";
     private static final String LIST = "PAGE\tpage=0\trows=1\nENTRY\thost=7\tsize=1.5\tshape=std\tstage_state=live"
             + "\track_zone=a\tblock=0\nSYNC\tbalancer=3\tkind=cached\trevision=1\tpage=0\n";
     private static final String REQUEST =
             "INBOUND\tbalancer=3\ttxn=id-1\tgrade=view\troute_key=91f03b7c55d20a64\tdeadline=2000000\tmore=1\n";
 
-    private record Result(int status, String out, String err) { }
+    private record Result(int status, String out, String err) {}
 
     private static Result run(String input) throws IOException {
         return run(input.getBytes(StandardCharsets.UTF_8));
@@ -93,13 +94,13 @@
     @Test
     void brokenRoundsEndInWholeRepliesOrTheStatedExit() throws IOException {
         byte[] good = ("ROUND\tat_time=1\n" + ATTACH + LIST + REQUEST + "FLUSH\nROUND\tat_time=9000\n"
-                + "WAKEUP\tbalancer=3\tkey_back=1\nFLUSH\n").getBytes(StandardCharsets.UTF_8);
+                        + "WAKEUP\tbalancer=3\tkey_back=1\nFLUSH\n")
+                .getBytes(StandardCharsets.UTF_8);
         Random random = new Random(3);
         for (int round = 0; round < 3_000; round++) {
             byte[] bad = java.util.Arrays.copyOf(good, 1 + random.nextInt(good.length));
             for (int i = random.nextInt(4); i > 0; i--) {
-                bad[random.nextInt(bad.length)] = (byte) "\t\n=x9-"
-                        .charAt(random.nextInt(6));
+                bad[random.nextInt(bad.length)] = (byte) "\t\n=x9-".charAt(random.nextInt(6));
             }
             Result r = run(bad);
             assertTrue(r.status() == 0 || r.status() == 2, "status " + r.status());
--- a/cli/src/main/java/baymoor/cli/Check.java
+++ b/cli/src/main/java/baymoor/cli/Check.java
@@ -14,7 +14,9 @@
 import picocli.CommandLine.Spec;
 
 /** {@code baymoor check}. */
-@Command(name = "check", mixinStandardHelpOptions = true,
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
         description = "Read a balancer's configuration as serve would, and say what it holds or what is wrong with it.")
 final class Check implements Callable<Integer> {
 
@@ -28,9 +30,17 @@
     public Integer call() {
         try {
             Settings s = Config.parse(Files.readString(file), Map.of());
-            spec.commandLine().getOut().printf("%s: good: balancer %s of %d at %s, %d classes, %d tenants, discovery at %s%n",
-                    file, s.name(), s.module().balancers(), text(s.listen()), s.module().classes().size(),
-                    s.module().tenants().size(), text(s.discovery()));
+            spec.commandLine()
+                    .getOut()
+                    .printf(
+                            "%s: good: balancer %s of %d at %s, %d classes, %d tenants, discovery at %s%n",
+                            file,
+                            s.name(),
+                            s.module().balancers(),
+                            text(s.listen()),
+                            s.module().classes().size(),
+                            s.module().tenants().size(),
+                            text(s.discovery()));
             return 0;
         } catch (BadConfig e) {
             throw new Failed(file + ": " + e.getMessage());
--- a/cli/src/main/java/baymoor/cli/Demo.java
+++ b/cli/src/main/java/baymoor/cli/Demo.java
@@ -12,9 +12,13 @@
 import picocli.CommandLine.Spec;
 
 /** {@code baymoor demo}. */
-@Command(name = "demo", mixinStandardHelpOptions = true, description = {
-    "See it work: two real balancers as processes, between stand-ins of routers, origin, discovery and clients.",
-    "Everything stays on loopback and ends by itself. Exit code 1 if a rule broke."})
+@Command(
+        name = "demo",
+        mixinStandardHelpOptions = true,
+        description = {
+            "See it work: two real balancers as processes, between stand-ins of routers, origin, discovery and clients.",
+            "Everything stays on loopback and ends by itself. Exit code 1 if a rule broke."
+        })
 final class Demo implements Callable<Integer> {
 
     private static final int LEAST = 5;
@@ -23,7 +27,10 @@
     @Spec
     private CommandLine.Model.CommandSpec spec;
 
-    @Option(names = "--seconds", paramLabel = "N", defaultValue = "15",
+    @Option(
+            names = "--seconds",
+            paramLabel = "N",
+            defaultValue = "15",
             description = "How long requests are counted (${DEFAULT-VALUE}; 5 to 600).")
     private int seconds;
 
@@ -34,11 +41,18 @@
     private boolean json;
 
     /** How balancers come by their lists, which is what the sites differ in most. */
-    enum Site { ASKED, PUSHED }
+    enum Site {
+        ASKED,
+        PUSHED
+    }
 
-    @Option(names = "--site", paramLabel = "KIND", defaultValue = "asked",
-            description = "asked: lists are asked of discovery; pushed: an agent beside each balancer has them, and aims and "
-                    + "graces are short (${DEFAULT-VALUE}).")
+    @Option(
+            names = "--site",
+            paramLabel = "KIND",
+            defaultValue = "asked",
+            description =
+                    "asked: lists are asked of discovery; pushed: an agent beside each balancer has them, and aims and "
+                            + "graces are short (${DEFAULT-VALUE}).")
     private Site site;
 
     /** What stands in the demo's scenario for a site whose lists are pushed. */
--- a/cli/src/main/java/baymoor/cli/Emulate.java
+++ b/cli/src/main/java/baymoor/cli/Emulate.java
@@ -5,10 +5,17 @@
 import picocli.CommandLine.Spec;
 
 /** {@code baymoor emulate}. */
-@Command(name = "emulate", mixinStandardHelpOptions = true,
+@Command(
+        name = "emulate",
+        mixinStandardHelpOptions = true,
         description = "Rehearse a scenario: in virtual time, or as stand-ins on loopback.",
-        subcommands = {EmulateRun.class, EmulateCheck.class, EmulateServe.class, EmulateCalibrate.class,
-            EmulateBench.class})
+        subcommands = {
+            EmulateRun.class,
+            EmulateCheck.class,
+            EmulateServe.class,
+            EmulateCalibrate.class,
+            EmulateBench.class
+        })
 final class Emulate implements Runnable {
 
     @Spec
--- a/cli/src/main/java/baymoor/cli/EmulateBench.java
+++ b/cli/src/main/java/baymoor/cli/EmulateBench.java
@@ -11,9 +11,13 @@
 import picocli.CommandLine.Spec;
 
 /** {@code baymoor emulate bench}. */
-@Command(name = "bench", mixinStandardHelpOptions = true, description = {
-    "Measure the emulator itself: virtual seconds for each real one, and what an event costs as the fleet grows.",
-    "One run of the smallest warms up, then all sizes run in turn, so that a machine that drifts drifts for all."})
+@Command(
+        name = "bench",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Measure the emulator itself: virtual seconds for each real one, and what an event costs as the fleet grows.",
+            "One run of the smallest warms up, then all sizes run in turn, so that a machine that drifts drifts for all."
+        })
 final class EmulateBench implements Callable<Integer> {
 
     @Spec
@@ -34,11 +38,27 @@
             spec.commandLine().getOut().println(Speed.json(rows).toPrettyString());
             return 0;
         }
-        spec.commandLine().getOut().printf(Locale.ROOT, "%-34s %10s %12s %12s %10s%n", "fleet", "x real", "events/s",
-                "ns an event", "to first");
+        spec.commandLine()
+                .getOut()
+                .printf(
+                        Locale.ROOT,
+                        "%-34s %10s %12s %12s %10s%n",
+                        "fleet",
+                        "x real",
+                        "events/s",
+                        "ns an event",
+                        "to first");
         for (Speed.Row r : rows) {
-            spec.commandLine().getOut().printf(Locale.ROOT, "%-34s %10.1f %,12.0f %,12.0f %10.2f%n", r.name(), r.times(),
-                    r.eventsPerSecond(), r.nanosPerEvent(), r.nanosPerEvent() / rows.get(0).nanosPerEvent());
+            spec.commandLine()
+                    .getOut()
+                    .printf(
+                            Locale.ROOT,
+                            "%-34s %10.1f %,12.0f %,12.0f %10.2f%n",
+                            r.name(),
+                            r.times(),
+                            r.eventsPerSecond(),
+                            r.nanosPerEvent(),
+                            r.nanosPerEvent() / rows.get(0).nanosPerEvent());
         }
         return 0;
     }
--- a/cli/src/main/java/baymoor/cli/EmulateCheck.java
+++ b/cli/src/main/java/baymoor/cli/EmulateCheck.java
@@ -12,7 +12,9 @@
 import picocli.CommandLine.Spec;
 
 /** {@code baymoor emulate check}. */
-@Command(name = "check", mixinStandardHelpOptions = true,
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
         description = "Name every mistake in scenario files, with line and column.")
 final class EmulateCheck implements Callable<Integer> {
 
@@ -28,8 +30,15 @@
         for (Path file : files) {
             try {
                 Scenario s = ScenarioReader.read(file);
-                spec.commandLine().getOut().printf("%s: good: %d balancers, %d routers, %.0f requests a second, %d acts%n",
-                        file, s.balancers().count(), s.routerCount(), s.traffic().rate(), s.script().size());
+                spec.commandLine()
+                        .getOut()
+                        .printf(
+                                "%s: good: %d balancers, %d routers, %.0f requests a second, %d acts%n",
+                                file,
+                                s.balancers().count(),
+                                s.routerCount(),
+                                s.traffic().rate(),
+                                s.script().size());
             } catch (BadScenario e) {
                 bad++;
                 spec.commandLine().getErr().println(e.getMessage());
--- a/cli/src/main/java/baymoor/cli/EmulateRun.java
+++ b/cli/src/main/java/baymoor/cli/EmulateRun.java
@@ -18,11 +18,15 @@
 import picocli.CommandLine.Spec;
 
 /** {@code baymoor emulate run}. */
-@Command(name = "run", mixinStandardHelpOptions = true, description = {
-    "Play a scenario in virtual time with the balancer's real state machines, or with each balancer a process.",
-    "In virtual time the same file and seed give the same event log, byte for byte. A broken rule means exit code 1, and ends "
-        + "a run in virtual time.",
-    "With --processes it takes real time, and the ways between the processes are cut and lossy as the script says."})
+@Command(
+        name = "run",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Play a scenario in virtual time with the balancer's real state machines, or with each balancer a process.",
+            "In virtual time the same file and seed give the same event log, byte for byte. A broken rule means exit code 1, and ends "
+                    + "a run in virtual time.",
+            "With --processes it takes real time, and the ways between the processes are cut and lossy as the script says."
+        })
 final class EmulateRun implements Callable<Integer> {
 
     @Spec
@@ -37,7 +41,10 @@
     @Option(names = "--log", paramLabel = "OUT", description = "Write the event log here.")
     private Path log;
 
-    @Option(names = "--json", paramLabel = "OUT", description = "Write all figures here as JSON; - for standard output.")
+    @Option(
+            names = "--json",
+            paramLabel = "OUT",
+            description = "Write all figures here as JSON; - for standard output.")
     private String json;
 
     @Option(names = "--keep-going", description = "Count broken rules instead of ending the run at the first.")
@@ -46,7 +53,10 @@
     @Option(names = "--processes", description = "Each balancer is a process of the built program, on loopback.")
     private boolean processes;
 
-    @Option(names = "--keep", paramLabel = "DIR", description = "With --processes: configurations and logs go here and stay.")
+    @Option(
+            names = "--keep",
+            paramLabel = "DIR",
+            description = "With --processes: configurations and logs go here and stay.")
     private Path keep;
 
     @Override
@@ -54,7 +64,8 @@
         Scenario scenario = Scenarios.read(file);
         if (processes) {
             if (log != null || keepGoing) {
-                throw new CommandLine.ParameterException(spec.commandLine(), "--log and --keep-going are for virtual time");
+                throw new CommandLine.ParameterException(
+                        spec.commandLine(), "--log and --keep-going are for virtual time");
             }
             return SocketPlay.report(spec, scenario, seed == null ? scenario.seed() : seed, keep, json);
         }
@@ -66,9 +77,14 @@
         long whole = scenario.warmUpMicros() + scenario.durationMicros();
         VirtualRun.Result result;
         try (OutputStream to = log == null ? null : new BufferedOutputStream(Files.newOutputStream(log))) {
-            result = VirtualRun.play(scenario, new VirtualRun.Options(seed == null ? scenario.seed() : seed, to, keepGoing,
-                    at -> progress.show(String.format("%s: %d of %d s", scenario.name(), at / 1_000_000,
-                            whole / 1_000_000))));
+            result = VirtualRun.play(
+                    scenario,
+                    new VirtualRun.Options(
+                            seed == null ? scenario.seed() : seed,
+                            to,
+                            keepGoing,
+                            at -> progress.show(String.format(
+                                    "%s: %d of %d s", scenario.name(), at / 1_000_000, whole / 1_000_000))));
         }
         progress.clear();
         print(out, result.summary().table(), result.summary().json(), json);
--- a/cli/src/main/java/baymoor/cli/EmulateServe.java
+++ b/cli/src/main/java/baymoor/cli/EmulateServe.java
@@ -13,9 +13,13 @@
 import picocli.CommandLine.Spec;
 
 /** {@code baymoor emulate serve}. */
-@Command(name = "serve", mixinStandardHelpOptions = true, description = {
-    "Run a scenario's routers, origin and discovery on loopback, and write a ready configuration for each balancer.",
-    "Start balancers on these with: baymoor serve DIR/n0.json"})
+@Command(
+        name = "serve",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Run a scenario's routers, origin and discovery on loopback, and write a ready configuration for each balancer.",
+            "Start balancers on these with: baymoor serve DIR/n0.json"
+        })
 final class EmulateServe implements Callable<Integer> {
 
     @Spec
@@ -30,11 +34,16 @@
     @Option(names = "--seed", paramLabel = "N", description = "Where all chance comes from (the file's own).")
     private Long seed;
 
-    @Option(names = "--for", paramLabel = "SECONDS", defaultValue = "600",
+    @Option(
+            names = "--for",
+            paramLabel = "SECONDS",
+            defaultValue = "600",
             description = "How long at the most; Ctrl-C ends it sooner (${DEFAULT-VALUE}).")
     private int seconds;
 
-    @Option(names = "--load", description = "Ask as the scenario's clients do, and play its script, once all balancers answer.")
+    @Option(
+            names = "--load",
+            description = "Ask as the scenario's clients do, and play its script, once all balancers answer.")
     private boolean load;
 
     @Override
@@ -42,8 +51,11 @@
         Scenario scenario = Scenarios.read(file);
         Files.createDirectories(folder);
         try (StandIns standIns = StandIns.start(scenario, seed == null ? scenario.seed() : seed, folder, load)) {
-            spec.commandLine().getOut().printf("%d routers, an origin and discovery on loopback; configurations:%n",
-                    scenario.routerCount());
+            spec.commandLine()
+                    .getOut()
+                    .printf(
+                            "%d routers, an origin and discovery on loopback; configurations:%n",
+                            scenario.routerCount());
             standIns.configurations().forEach(c -> spec.commandLine().getOut().println("  " + c));
             spec.commandLine().getOut().flush();
             if (load) {
--- a/cli/src/main/java/baymoor/cli/Home.java
+++ b/cli/src/main/java/baymoor/cli/Home.java
@@ -7,7 +7,7 @@
 /** Where the program was built: the launcher script names the folder, and the deploy file in it says how to serve. */
 final class Home {
 
-    private Home() { }
+    private Home() {}
 
     static Path root() {
         return Path.of(System.getProperty("baymoor.home", ".")).toAbsolutePath().normalize();
@@ -17,7 +17,9 @@
     static String run() {
         Path deploy = root().resolve("deploy/balancer.toml");
         try {
-            return Files.readAllLines(deploy).stream().filter(l -> l.startsWith("run = \"")).findFirst()
+            return Files.readAllLines(deploy).stream()
+                    .filter(l -> l.startsWith("run = \""))
+                    .findFirst()
                     .map(l -> l.substring("run = \"".length(), l.length() - 1))
                     .orElseThrow(() -> new Failed(deploy + ": no line run = \"...\""));
         } catch (IOException e) {
