--- a/cli/src/main/java/baymoor/cli/KnowledgeCommand.java
+++ b/cli/src/main/java/baymoor/cli/KnowledgeCommand.java
@@ -25,7 +25,9 @@
 import picocli.CommandLine.Spec;
 
 /** {@code baymoor knowledge}. */
-@Command(name = "knowledge", mixinStandardHelpOptions = true,
+@Command(
+        name = "knowledge",
+        mixinStandardHelpOptions = true,
         description = "Look at what an instance has written down of what it learned.",
         subcommands = {KnowledgeCommand.Show.class, KnowledgeCommand.Verify.class, KnowledgeCommand.Diff.class})
 final class KnowledgeCommand implements Runnable {
@@ -42,8 +44,8 @@
         try {
             return Store.read(file);
         } catch (IOException e) {
-            throw new Failed(file + ": " + (e instanceof java.nio.file.NoSuchFileException ? "no such file"
-                    : e.getMessage()));
+            throw new Failed(
+                    file + ": " + (e instanceof java.nio.file.NoSuchFileException ? "no such file" : e.getMessage()));
         }
     }
 
@@ -56,14 +58,27 @@
     }
 
     private static String line(Host h) {
-        return String.format(Locale.ROOT, "%s  since %-24s  learned %-24s  support %7.1f  %8.1f ms  limit %6.1f  failing %3.0f%%%s",
-                id(h.id()), time(h.since()), time(h.learnedAt()), h.support(), h.latencyMicros() / 1e3, h.limit(),
-                100 * h.failing(), h.out() ? "  out of use" : "");
+        return String.format(
+                Locale.ROOT,
+                "%s  since %-24s  learned %-24s  support %7.1f  %8.1f ms  limit %6.1f  failing %3.0f%%%s",
+                id(h.id()),
+                time(h.since()),
+                time(h.learnedAt()),
+                h.support(),
+                h.latencyMicros() / 1e3,
+                h.limit(),
+                100 * h.failing(),
+                h.out() ? "  out of use" : "");
     }
 
     private static String line(Key k) {
-        return String.format(Locale.ROOT, "%s  learned %-24s  support %7.1f  %8.2f/s", id(k.key()), time(k.learnedAt()),
-                k.support(), k.rate());
+        return String.format(
+                Locale.ROOT,
+                "%s  learned %-24s  support %7.1f  %8.2f/s",
+                id(k.key()),
+                time(k.learnedAt()),
+                k.support(),
+                k.rate());
     }
 
     /** {@code baymoor knowledge show}. */
@@ -83,14 +98,24 @@
             Knowledge k = read(file);
             PrintWriter out = spec.commandLine().getOut();
             if (json) {
-                out.println(new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT).writeValueAsString(k));
+                out.println(new ObjectMapper()
+                        .enable(SerializationFeature.INDENT_OUTPUT)
+                        .writeValueAsString(k));
                 return 0;
             }
-            out.printf(Locale.ROOT, "learned by %s, which had run for %.1f s; taken at %s%n", k.instance(), k.upFor() / 1e3,
+            out.printf(
+                    Locale.ROOT,
+                    "learned by %s, which had run for %.1f s; taken at %s%n",
+                    k.instance(),
+                    k.upFor() / 1e3,
                     time(k.takenAt()));
             if (k.origin() != null) {
-                out.printf(Locale.ROOT, "origin: %.1f fetches a second, quick in %.1f ms, support %.1f, learned %s%n",
-                        k.origin().perSecond(), k.origin().quickMicros() / 1e3, k.origin().support(),
+                out.printf(
+                        Locale.ROOT,
+                        "origin: %.1f fetches a second, quick in %.1f ms, support %.1f, learned %s%n",
+                        k.origin().perSecond(),
+                        k.origin().quickMicros() / 1e3,
+                        k.origin().support(),
                         time(k.origin().learnedAt()));
             }
             out.println(k.hosts().size() + " hosts");
@@ -102,7 +127,9 @@
     }
 
     /** {@code baymoor knowledge verify}. */
-    @Command(name = "verify", mixinStandardHelpOptions = true,
+    @Command(
+            name = "verify",
+            mixinStandardHelpOptions = true,
             description = "Say of each file whether it is whole. Exit code 1 if one is not.")
     static final class Verify implements Callable<Integer> {
         @Spec
@@ -117,8 +144,11 @@
             for (Path file : files) {
                 try {
                     Knowledge k = read(file);
-                    spec.commandLine().getOut().printf("%s: whole: %d hosts, %d keys, taken at %s%n", file,
-                            k.hosts().size(), k.keys().size(), time(k.takenAt()));
+                    spec.commandLine()
+                            .getOut()
+                            .printf(
+                                    "%s: whole: %d hosts, %d keys, taken at %s%n",
+                                    file, k.hosts().size(), k.keys().size(), time(k.takenAt()));
                 } catch (Failed e) {
                     bad++;
                     spec.commandLine().getErr().println(e.getMessage());
@@ -129,7 +159,9 @@
     }
 
     /** {@code baymoor knowledge diff}. */
-    @Command(name = "diff", mixinStandardHelpOptions = true,
+    @Command(
+            name = "diff",
+            mixinStandardHelpOptions = true,
             description = "Print what one file knows otherwise than another. Exit code 1 if they differ.")
     static final class Diff implements Callable<Integer> {
         @Spec
@@ -156,8 +188,8 @@
             return different == 0 ? 0 : 1;
         }
 
-        private static <T> int lines(PrintWriter out, String what, List<T> a, List<T> b, ToLongFunction<T> id,
-                Function<T, String> text) {
+        private static <T> int lines(
+                PrintWriter out, String what, List<T> a, List<T> b, ToLongFunction<T> id, Function<T, String> text) {
             TreeMap<Long, T> before = new TreeMap<>();
             TreeMap<Long, T> after = new TreeMap<>();
             a.forEach(x -> before.put(id.applyAsLong(x), x));
--- a/cli/src/main/java/baymoor/cli/Logging.java
+++ b/cli/src/main/java/baymoor/cli/Logging.java
@@ -14,9 +14,12 @@
 /** Sets up the tools' log on standard error: text for people, or one JSON object a line for programs. */
 final class Logging {
 
-    enum Format { text, json }
+    enum Format {
+        text,
+        json
+    }
 
-    private Logging() { }
+    private Logging() {}
 
     static void set(Format format, Level level) {
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
--- a/cli/src/main/java/baymoor/cli/Main.java
+++ b/cli/src/main/java/baymoor/cli/Main.java
@@ -9,23 +9,44 @@
 import picocli.CommandLine.Spec;
 
 /** The command line {@code baymoor}. Exit codes: 0 done, 1 done and the result is bad, or it failed, 2 usage. */
-@Command(name = "baymoor", mixinStandardHelpOptions = true, versionProvider = Versions.class,
+@Command(
+        name = "baymoor",
+        mixinStandardHelpOptions = true,
+        versionProvider = Versions.class,
         description = "Balances requests over cache routers and the origin behind them, and rehearses doing so.",
         exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:done", "1:the result is bad (a rule broke, a file has mistakes), or it could not be done",
-            "2:the command line could not be read"},
-        subcommands = {Serve.class, Check.class, Demo.class, Emulate.class, KnowledgeCommand.class,
-            Version.class, AutoComplete.GenerateCompletion.class})
+        exitCodeList = {
+            "0:done",
+            "1:the result is bad (a rule broke, a file has mistakes), or it could not be done",
+            "2:the command line could not be read"
+        },
+        subcommands = {
+            Serve.class,
+            Check.class,
+            Demo.class,
+            Emulate.class,
+            KnowledgeCommand.class,
+            Version.class,
+            AutoComplete.GenerateCompletion.class
+        })
 public final class Main implements Runnable {
 
     @Spec
     private CommandLine.Model.CommandSpec spec;
 
-    @Option(names = "--log-format", scope = ScopeType.INHERIT, defaultValue = "text", paramLabel = "FORMAT",
+    @Option(
+            names = "--log-format",
+            scope = ScopeType.INHERIT,
+            defaultValue = "text",
+            paramLabel = "FORMAT",
             description = "How log lines on standard error look: ${COMPLETION-CANDIDATES} (${DEFAULT-VALUE}).")
     private Logging.Format format;
 
-    @Option(names = "--log-level", scope = ScopeType.INHERIT, defaultValue = "INFO", paramLabel = "LEVEL",
+    @Option(
+            names = "--log-level",
+            scope = ScopeType.INHERIT,
+            defaultValue = "INFO",
+            paramLabel = "LEVEL",
             description = "The least level that is logged: TRACE, DEBUG, INFO, WARN, ERROR, OFF (${DEFAULT-VALUE}).")
     private String level;
 
@@ -49,12 +70,17 @@
         CommandLine line = new CommandLine(main).setCaseInsensitiveEnumValuesAllowed(true);
         line.setExecutionStrategy(main::configured);
         line.setExecutionExceptionHandler((failure, command, parsed) -> {
-            command.getErr().println(command.getCommandSpec().qualifiedName() + ": "
-                    + (failure instanceof Failed ? failure.getMessage() : failure.toString()));
+            command.getErr()
+                    .println(command.getCommandSpec().qualifiedName() + ": "
+                            + (failure instanceof Failed ? failure.getMessage() : failure.toString()));
             return CommandLine.ExitCode.SOFTWARE;
         });
-        line.getSubcommands().get("generate-completion").getCommandSpec().usageMessage().description(
-                "Print a completion script for bash and zsh; use it as: source <(baymoor generate-completion)");
+        line.getSubcommands()
+                .get("generate-completion")
+                .getCommandSpec()
+                .usageMessage()
+                .description(
+                        "Print a completion script for bash and zsh; use it as: source <(baymoor generate-completion)");
         return line;
     }
 
--- a/cli/src/main/java/baymoor/cli/Scenarios.java
+++ b/cli/src/main/java/baymoor/cli/Scenarios.java
@@ -8,7 +8,7 @@
 /** Reads scenario files for commands. */
 final class Scenarios {
 
-    private Scenarios() { }
+    private Scenarios() {}
 
     static Scenario read(Path file) {
         try {
--- a/cli/src/main/java/baymoor/cli/Serve.java
+++ b/cli/src/main/java/baymoor/cli/Serve.java
@@ -10,9 +10,13 @@
  * {@code baymoor serve}. The launcher script replaces itself by the serving program before any of this is loaded; this
  * class gives the help, and does the same from a child process where the jar was started by hand.
  */
-@Command(name = "serve", mixinStandardHelpOptions = true,
-        description = {"Run one balancer in the foreground until SIGTERM.",
-            "The configuration is CONFIG, or else what ROUTER_CONFIG names. ROUTER_LOG=json makes its log JSON lines."})
+@Command(
+        name = "serve",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Run one balancer in the foreground until SIGTERM.",
+            "The configuration is CONFIG, or else what ROUTER_CONFIG names. ROUTER_LOG=json makes its log JSON lines."
+        })
 final class Serve implements Callable<Integer> {
 
     @Parameters(arity = "0..1", paramLabel = "CONFIG", description = "The balancer's JSON configuration.")
@@ -20,7 +24,8 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", Home.run()).directory(Home.root().toFile())
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", Home.run())
+                .directory(Home.root().toFile())
                 .inheritIO();
         if (config != null) {
             builder.environment().put("ROUTER_CONFIG", config.toAbsolutePath().toString());
--- a/cli/src/main/java/baymoor/cli/SocketPlay.java
+++ b/cli/src/main/java/baymoor/cli/SocketPlay.java
@@ -19,21 +19,30 @@
 
     private static final double STEP_SECONDS = 1;
 
-    private SocketPlay() { }
+    private SocketPlay() {}
 
     static SocketRun.Result play(CommandLine.Model.CommandSpec spec, Scenario scenario, long seed, Path folder)
             throws IOException, InterruptedException {
         Progress progress = new Progress(spec.commandLine().getErr());
         double[] shown = {-STEP_SECONDS};
         String[] phase = {""};
-        SocketRun.Result result = SocketRun.play(scenario, new SocketRun.Options(seed, folder, Home.root(), Home.run(),
-                p -> {
-                    boolean step = p.seconds() - shown[0] >= (progress.terminal() ? STEP_SECONDS / 4 : 3 * STEP_SECONDS);
+        SocketRun.Result result =
+                SocketRun.play(scenario, new SocketRun.Options(seed, folder, Home.root(), Home.run(), p -> {
+                    boolean step =
+                            p.seconds() - shown[0] >= (progress.terminal() ? STEP_SECONDS / 4 : 3 * STEP_SECONDS);
                     if (step || !phase[0].equals(p.phase())) {
                         shown[0] = p.seconds();
                         phase[0] = p.phase();
-                        progress.line(String.format(Locale.ROOT, "%s: %s %.0f of %.0f s, %d asked, %d in time, %d rules broken",
-                                scenario.name(), p.phase(), p.seconds(), p.of(), p.asked(), p.inTime(), p.broken()));
+                        progress.line(String.format(
+                                Locale.ROOT,
+                                "%s: %s %.0f of %.0f s, %d asked, %d in time, %d rules broken",
+                                scenario.name(),
+                                p.phase(),
+                                p.seconds(),
+                                p.of(),
+                                p.asked(),
+                                p.inTime(),
+                                p.broken()));
                     }
                 }));
         progress.clear();
@@ -48,16 +57,25 @@
      */
     static int report(CommandLine.Model.CommandSpec spec, Scenario scenario, long seed, Path keep, String json)
             throws IOException, InterruptedException {
-        Path folder = keep == null ? Files.createTempDirectory("baymoor-" + scenario.name())
+        Path folder = keep == null
+                ? Files.createTempDirectory("baymoor-" + scenario.name())
                 : Files.createDirectories(keep).toAbsolutePath();
         SocketRun.Result result = play(spec, scenario, seed, folder);
         Fabric.Counts faults = result.faults();
         ObjectNode figures = result.summary().json();
         figures.putPOJO("faults", faults);
-        String table = result.summary().table() + String.format(Locale.ROOT,
-                "%n  %-24s %,d, %,d lost, %,d cut, %,d doubled%n  %-24s %,d bytes, %,d connections reset", "datagrams",
-                faults.datagrams(), faults.datagramsLost(), faults.datagramsCut(), faults.datagramsDoubled(), "held at cuts",
-                faults.bytesHeld(), faults.resets());
+        String table = result.summary().table()
+                + String.format(
+                        Locale.ROOT,
+                        "%n  %-24s %,d, %,d lost, %,d cut, %,d doubled%n  %-24s %,d bytes, %,d connections reset",
+                        "datagrams",
+                        faults.datagrams(),
+                        faults.datagramsLost(),
+                        faults.datagramsCut(),
+                        faults.datagramsDoubled(),
+                        "held at cuts",
+                        faults.bytesHeld(),
+                        faults.resets());
         EmulateRun.print(spec.commandLine().getOut(), table, figures, json);
         for (Broken b : result.broken()) {
             spec.commandLine().getErr().println(b.text());
--- a/cli/src/test/java/baymoor/cli/BuiltProgram.java
+++ b/cli/src/test/java/baymoor/cli/BuiltProgram.java
@@ -12,13 +12,16 @@
 final class BuiltProgram {
 
     /** What a command printed on both streams, and its exit code. */
-    record Ran(int code, String out) { }
+    record Ran(int code, String out) {}
 
-    private BuiltProgram() { }
+    private BuiltProgram() {}
 
     static Ran run(String... command) throws IOException, InterruptedException {
         Path out = Files.createTempFile("out", ".txt");
-        Process process = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(out.toFile()).start();
+        Process process = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(out.toFile())
+                .start();
         boolean ended = process.waitFor(120, TimeUnit.SECONDS);
         process.destroyForcibly();
         String text = Files.readString(out, StandardCharsets.UTF_8);
--- a/cli/src/test/java/baymoor/cli/CommandLineIT.java
+++ b/cli/src/test/java/baymoor/cli/CommandLineIT.java
@@ -12,8 +12,16 @@
 public class CommandLineIT {
 
     private static String fingerprint(String heap) throws IOException, InterruptedException {
-        BuiltProgram.Ran ran = BuiltProgram.run("java", heap, "-jar", "cli/target/baymoor-cli.jar", "emulate", "run",
-                "examples/scenarios/bad-routers.toml", "--json", "-");
+        BuiltProgram.Ran ran = BuiltProgram.run(
+                "java",
+                heap,
+                "-jar",
+                "cli/target/baymoor-cli.jar",
+                "emulate",
+                "run",
+                "examples/scenarios/bad-routers.toml",
+                "--json",
+                "-");
         assertEquals(ran.out(), 0, ran.code());
         return new JSONObject(ran.out().substring(ran.out().indexOf('{'))).getString("event_log_sha256");
     }
@@ -25,7 +33,8 @@
 
     @Test
     public void theLauncherStartsTheCommandLineFromAnywhere() throws Exception {
-        BuiltProgram.Ran ran = BuiltProgram.run("sh", "-c", "cd / && " + Path.of("bin/baymoor").toAbsolutePath() + " version");
+        BuiltProgram.Ran ran =
+                BuiltProgram.run("sh", "-c", "cd / && " + Path.of("bin/baymoor").toAbsolutePath() + " version");
         assertEquals(ran.out(), 0, ran.code());
         assertTrue(ran.out(), ran.out().startsWith("baymoor "));
     }
--- a/cli/src/test/java/baymoor/cli/CommandLineTest.java
+++ b/cli/src/test/java/baymoor/cli/CommandLineTest.java
@@ -28,8 +28,19 @@
 
     @Test
     public void everyCommandHasHelp() {
-        String[][] commands = {{}, {"serve"}, {"check"}, {"demo"}, {"emulate"}, {"emulate", "run"}, {"emulate", "check"},
-            {"emulate", "serve"}, {"emulate", "calibrate"}, {"emulate", "bench"}, {"version"}};
+        String[][] commands = {
+            {},
+            {"serve"},
+            {"check"},
+            {"demo"},
+            {"emulate"},
+            {"emulate", "run"},
+            {"emulate", "check"},
+            {"emulate", "serve"},
+            {"emulate", "calibrate"},
+            {"emulate", "bench"},
+            {"version"}
+        };
         for (String[] command : commands) {
             String[] words = java.util.Arrays.copyOf(command, command.length + 1);
             words[command.length] = "--help";
@@ -55,7 +66,8 @@
         Path bad = Files.createTempFile("bad", ".json");
         Files.writeString(bad, "{\"name\":\"n\",\"listen\":\"nowhere\"}");
         assertEquals(1, run("check", bad.toString()));
-        assertEquals("baymoor check: " + bad + ": config: listen is not an address with a port: nowhere",
+        assertEquals(
+                "baymoor check: " + bad + ": config: listen is not an address with a port: nowhere",
                 err.toString().strip());
         Files.delete(bad);
         assertEquals(1, run("check", bad.toString()));
@@ -68,7 +80,8 @@
         Files.writeString(bad, "duration = 5\n[traffic]\nrate = \"9\"\n");
         assertEquals(1, run("emulate", "check", "examples/scenarios/scan.toml", bad.toString()));
         assertTrue(out.toString(), out.toString().startsWith("examples/scenarios/scan.toml: good: 4 balancers"));
-        assertEquals(2, err.toString().lines().filter(l -> l.startsWith(bad + ":")).count());
+        assertEquals(
+                2, err.toString().lines().filter(l -> l.startsWith(bad + ":")).count());
         assertEquals(1, run("emulate", "run", bad.toString()));
         Files.delete(bad);
     }
--- a/cli/src/test/java/baymoor/cli/ProcessFaultsIT.java
+++ b/cli/src/test/java/baymoor/cli/ProcessFaultsIT.java
@@ -15,21 +15,29 @@
 
     /** Figures of a run in which no rule broke and one of so many was served in time. */
     private static JSONObject kept(String scenario, int oneOf) throws Exception {
-        BuiltProgram.Ran ran = BuiltProgram.run("bin/baymoor", "emulate", "run", "examples/scenarios/" + scenario + ".toml",
-                "--processes", "--json", "-");
+        BuiltProgram.Ran ran = BuiltProgram.run(
+                "bin/baymoor",
+                "emulate",
+                "run",
+                "examples/scenarios/" + scenario + ".toml",
+                "--processes",
+                "--json",
+                "-");
         assertEquals(ran.out(), 0, ran.code());
         JSONObject figures = new JSONObject(ran.out().substring(ran.out().indexOf("{\"scenario\"")));
         assertEquals(ran.out(), 0, figures.getJSONObject("rules_broken").length());
-        assertTrue(ran.out(), figures.getInt("asked") > 400
-                && figures.getInt("served_in_time") > figures.getInt("asked") / oneOf);
+        assertTrue(
+                ran.out(),
+                figures.getInt("asked") > 400 && figures.getInt("served_in_time") > figures.getInt("asked") / oneOf);
         return figures;
     }
 
     @Test
     public void aZoneThatIsCutOffKeepsTheRulesAndComesBack() throws Exception {
         JSONObject faults = kept("cut-off-zone").getJSONObject("faults");
-        assertTrue(faults.toString(), faults.getInt("bytesHeld") > 1000 && faults.getInt("resets") > 0
-                && faults.getInt("datagramsCut") > 0);
+        assertTrue(
+                faults.toString(),
+                faults.getInt("bytesHeld") > 1000 && faults.getInt("resets") > 0 && faults.getInt("datagramsCut") > 0);
     }
 
     @Test
--- a/emulator/src/main/java/baymoor/emulator/calibrate/Calibration.java
+++ b/emulator/src/main/java/baymoor/emulator/calibrate/Calibration.java
@@ -68,9 +68,9 @@
         }
     }
 
-    private Calibration() { }
+    private Calibration() {}
 
-    private record Pair(double load, RouterLoad virtual, RouterLoad sockets) { }
+    private record Pair(double load, RouterLoad virtual, RouterLoad sockets) {}
 
     /**
      * @param at   how many repeats run side by side on loopback; each takes a few hundredths of a core
@@ -113,10 +113,14 @@
         for (double load : LOADS) {
             List<Pair> at = pairs.stream().filter(p -> p.load == load).toList();
             for (double percentile : PERCENTILES) {
-                rows.add(new Row(load, percentile,
-                        median(at.stream().mapToDouble(p -> p.virtual.latencies().getValueAtPercentile(percentile))
+                rows.add(new Row(
+                        load,
+                        percentile,
+                        median(at.stream()
+                                .mapToDouble(p -> p.virtual.latencies().getValueAtPercentile(percentile))
                                 .toArray()),
-                        median(at.stream().mapToDouble(p -> p.sockets.latencies().getValueAtPercentile(percentile))
+                        median(at.stream()
+                                .mapToDouble(p -> p.sockets.latencies().getValueAtPercentile(percentile))
                                 .toArray())));
             }
         }
@@ -130,11 +134,17 @@
     }
 
     public static String table(List<Row> rows) {
-        StringBuilder text = new StringBuilder(String.format(Locale.ROOT, "%-6s %-5s %12s %12s %8s%n", "load", "p",
-                "virtual", "loopback", "apart"));
+        StringBuilder text = new StringBuilder(
+                String.format(Locale.ROOT, "%-6s %-5s %12s %12s %8s%n", "load", "p", "virtual", "loopback", "apart"));
         for (Row r : rows) {
-            text.append(String.format(Locale.ROOT, "%-6s p%-4.0f %9.2f ms %9.2f ms %+7.1f%%%s%n",
-                    Math.round(r.load * 100) + "%", r.percentile, r.virtual / 1e3, r.sockets / 1e3, 100 * r.apart(),
+            text.append(String.format(
+                    Locale.ROOT,
+                    "%-6s p%-4.0f %9.2f ms %9.2f ms %+7.1f%%%s%n",
+                    Math.round(r.load * 100) + "%",
+                    r.percentile,
+                    r.virtual / 1e3,
+                    r.sockets / 1e3,
+                    100 * r.apart(),
                     r.within() ? "" : "  over 10%"));
         }
         return text.toString().stripTrailing();
@@ -144,8 +154,12 @@
         ArrayNode all = new ObjectMapper().createArrayNode();
         for (Row r : rows) {
             ObjectNode o = all.addObject();
-            o.put("load", r.load).put("percentile", r.percentile).put("virtual_us", r.virtual)
-                    .put("loopback_us", r.sockets).put("apart", r.apart()).put("within", r.within());
+            o.put("load", r.load)
+                    .put("percentile", r.percentile)
+                    .put("virtual_us", r.virtual)
+                    .put("loopback_us", r.sockets)
+                    .put("apart", r.apart())
+                    .put("within", r.within());
         }
         return all;
     }
--- a/emulator/src/main/java/baymoor/emulator/chance/Draw.java
+++ b/emulator/src/main/java/baymoor/emulator/chance/Draw.java
@@ -7,7 +7,7 @@
 /** Single draws from the distributions that a world needs. */
 public final class Draw {
 
-    private Draw() { }
+    private Draw() {}
 
     /** Exponential with a mean of 1. */
     public static double exponential(UniformRandomProvider from) {
--- a/emulator/src/main/java/baymoor/emulator/engine/Engine.java
+++ b/emulator/src/main/java/baymoor/emulator/engine/Engine.java
@@ -102,7 +102,11 @@
 
     private Event add(long due, long course, Runnable task) {
         long number = scheduled++;
-        Event event = new Event(due, shuffle == 0 ? 0 : mix(shuffle ^ (course == ALONE ? ~number : course) * GOLDEN ^ due), number, task);
+        Event event = new Event(
+                due,
+                shuffle == 0 ? 0 : mix(shuffle ^ (course == ALONE ? ~number : course) * GOLDEN ^ due),
+                number,
+                task);
         events.add(event);
         return event;
     }
--- a/emulator/src/main/java/baymoor/emulator/engine/Site.java
+++ b/emulator/src/main/java/baymoor/emulator/engine/Site.java
@@ -27,7 +27,7 @@
     private long came;
 
     /** What waits for the process, and since when. */
-    private record Posted(long atMicros, Runnable task) { }
+    private record Posted(long atMicros, Runnable task) {}
 
     /**
      * @param client     whether it stands outside the zones' networks, as clients do
--- a/emulator/src/main/java/baymoor/emulator/fabric/Fabric.java
+++ b/emulator/src/main/java/baymoor/emulator/fabric/Fabric.java
@@ -29,14 +29,20 @@
      * @param datagramsCut     at a cut
      * @param datagramsDoubled delivered twice
      */
-    public record Counts(long bytesHeld, long resets, long datagrams, long datagramsLost, long datagramsCut,
-            long datagramsDoubled) { }
+    public record Counts(
+            long bytesHeld,
+            long resets,
+            long datagrams,
+            long datagramsLost,
+            long datagramsCut,
+            long datagramsDoubled) {}
 
     final Time time;
     private final Scenario.Net net;
     private final UniformRandomProvider chance;
     /** How many cuts keep the first zone's words from the second. */
     private final int[][] cuts;
+
     private final Set<Wire> wires = new LinkedHashSet<>();
     private double loss;
     private long bytesHeld;
--- a/emulator/src/main/java/baymoor/emulator/fabric/Wire.java
+++ b/emulator/src/main/java/baymoor/emulator/fabric/Wire.java
@@ -17,6 +17,7 @@
     private LinkEvents host;
     /** Something was said or done that the host, or the real connection, never heard of. */
     private boolean lostIn;
+
     private boolean lostOut;
     /** The host knows that it is over, or never heard of it. */
     private boolean told;
--- a/emulator/src/main/java/baymoor/emulator/judge/Judge.java
+++ b/emulator/src/main/java/baymoor/emulator/judge/Judge.java
@@ -25,7 +25,11 @@
 public final class Judge {
 
     /** What came back to a client. */
-    public enum Kind { SERVED, REFUSED, FAILED }
+    public enum Kind {
+        SERVED,
+        REFUSED,
+        FAILED
+    }
 
     private static final long KEEP_MICROS = 30_000_000;
     private static final int MOST_STEPS = 40;
@@ -35,7 +39,7 @@
     private static final long LEFT_MICROS = 100_000;
     private static final int LEFT_BY_CHANCE = 2;
 
-    private record Step(long at, String what, String where) { }
+    private record Step(long at, String what, String where) {}
 
     private static final class Relay {
         final String host;
@@ -75,9 +79,9 @@
         }
     }
 
-    private record Told(boolean stopped, long at, long since) { }
+    private record Told(boolean stopped, long at, long since) {}
 
-    private record Ended(long at, Case request) { }
+    private record Ended(long at, Case request) {}
 
     private final LongSupplier clock;
     private final long epoch;
@@ -92,6 +96,7 @@
     private final Map<Integer, Long> stalledUntil = new HashMap<>();
     /** Balancers that have died and not started again. */
     private final Set<Integer> dead = new HashSet<>();
+
     private int begunForNobody;
     private final CRC32C sums = new CRC32C();
     private final Map<Rule, Integer> counts = new EnumMap<>(Rule.class);
@@ -123,7 +128,8 @@
         counts.merge(rule, 1, Integer::sum);
         List<String> last = new ArrayList<>();
         if (request != null) {
-            request.steps.forEach(s -> last.add(s.at - epoch + " us  " + s.what + (s.where.isEmpty() ? "" : "  " + s.where)));
+            request.steps.forEach(
+                    s -> last.add(s.at - epoch + " us  " + s.what + (s.where.isEmpty() ? "" : "  " + s.where)));
         }
         broken.accept(new Broken(rule, clock.getAsLong() - epoch, request == null ? "" : request.id, what, last));
     }
@@ -160,8 +166,10 @@
             if (due != null) {
                 due.suspected = false;
                 if (due.out) {
-                    breaks(Rule.ONE_RELAY_AT_A_TIME, c, "still out at " + due.host + " " + slack
-                            + " us after the next attempt had come");
+                    breaks(
+                            Rule.ONE_RELAY_AT_A_TIME,
+                            c,
+                            "still out at " + due.host + " " + slack + " us after the next attempt had come");
                 }
             }
         }
@@ -205,7 +213,8 @@
             if (Arrays.stream(c.made).noneMatch(m -> m == sum)) {
                 breaks(Rule.TRUE_VALUE, c, "served what no host made for it");
             }
-        } else if (kind == Kind.REFUSED && c.kind.effect() == Effect.UNSAFE
+        } else if (kind == Kind.REFUSED
+                && c.kind.effect() == Effect.UNSAFE
                 && (c.runs > 0 || c.relays.stream().anyMatch(r -> !r.unrun))) {
             breaks(Rule.HARMLESS_REFUSAL, c, "an unsafe request that may have run was answered with a back-off");
         }
@@ -283,10 +292,14 @@
         }
         long now = clock.getAsLong();
         step(c, "relayed", "to " + host + " by balancer " + balancer + " on connection " + connection);
-        boolean late = c.leftAt < now - LEFT_MICROS - slack && stalledUntil.getOrDefault(balancer, Long.MIN_VALUE) < now;
+        boolean late =
+                c.leftAt < now - LEFT_MICROS - slack && stalledUntil.getOrDefault(balancer, Long.MIN_VALUE) < now;
         if (late && ++begunForNobody > LEFT_BY_CHANCE) {
-            breaks(Rule.LEFT_ALONE, c, "sent to " + host + " " + (now - c.leftAt) + " us after its client had left, case "
-                    + begunForNobody);
+            breaks(
+                    Rule.LEFT_ALONE,
+                    c,
+                    "sent to " + host + " " + (now - c.leftAt) + " us after its client had left, case "
+                            + begunForNobody);
         }
         for (Relay r : c.relays) {
             if (r.out && slack == 0) {
@@ -301,9 +314,13 @@
                 breaks(Rule.UNSAFE_ONCE, c, "sent to " + host + " though it may have run at " + r.host);
             }
         }
-        if (c.kind.effect() == Effect.KEYED && c.firstMayHaveRun >= 0
+        if (c.kind.effect() == Effect.KEYED
+                && c.firstMayHaveRun >= 0
                 && now - c.firstMayHaveRun > c.kind.windowMicros() + slack) {
-            breaks(Rule.KEYED_ONCE, c, "sent again " + (now - c.firstMayHaveRun) + " us after an attempt that may have run");
+            breaks(
+                    Rule.KEYED_ONCE,
+                    c,
+                    "sent again " + (now - c.firstMayHaveRun) + " us after an attempt that may have run");
         }
         Told word = told.getOrDefault(balancer, Map.of()).get(host);
         if (word != null && word.stopped && now - word.at > figures.drainGraceMicros() + slack) {
@@ -384,8 +401,11 @@
         step(c, "ran", "at " + host);
         if (c.runs > 1 && c.kind.effect() == Effect.UNSAFE) {
             breaks(Rule.UNSAFE_ONCE, c, "ran " + c.runs + " times");
-        } else if (c.runs > 1 && c.kind.effect() == Effect.KEYED && clock.getAsLong() - c.firstRan <= c.kind.windowMicros()) {
-            // Later the hosts drop no repeat any more: one that was sent in time, and waited there, is not the balancer's doing.
+        } else if (c.runs > 1
+                && c.kind.effect() == Effect.KEYED
+                && clock.getAsLong() - c.firstRan <= c.kind.windowMicros()) {
+            // Later the hosts drop no repeat any more: one that was sent in time, and waited there, is not the
+            // balancer's doing.
             breaks(Rule.KEYED_ONCE, c, "had its effect " + c.runs + " times");
         }
     }
@@ -427,8 +447,14 @@
     /** A cold router fell over; {@code fromTold}: share of the work of those who knew of its start. */
     public void tipped(String host, double fromTold) {
         if (fromTold >= TOLD_SHARE) {
-            breaks(Rule.COLD_ROUTER, null, String.format(java.util.Locale.ROOT,
-                    "%s fell over, %.0f%% of its work from balancers that knew of its start", host, fromTold * 100));
+            breaks(
+                    Rule.COLD_ROUTER,
+                    null,
+                    String.format(
+                            java.util.Locale.ROOT,
+                            "%s fell over, %.0f%% of its work from balancers that knew of its start",
+                            host,
+                            fromTold * 100));
         }
     }
 
@@ -438,9 +464,14 @@
      */
     public void originFell(double coldShare, double excess) {
         if (coldShare > MOST_COLD_SHARE && excess > MOST_COLD_EXCESS) {
-            breaks(Rule.ORIGIN_SPARED, null, String.format(java.util.Locale.ROOT,
-                    "the origin stopped, %.0f%% of its load misses at cold routers, %.1f times what was due to them",
-                    coldShare * 100, excess));
+            breaks(
+                    Rule.ORIGIN_SPARED,
+                    null,
+                    String.format(
+                            java.util.Locale.ROOT,
+                            "the origin stopped, %.0f%% of its load misses at cold routers, %.1f times what was due to them",
+                            coldShare * 100,
+                            excess));
         }
     }
 
--- a/emulator/src/main/java/baymoor/emulator/report/Summary.java
+++ b/emulator/src/main/java/baymoor/emulator/report/Summary.java
@@ -18,8 +18,16 @@
  * @param seconds     that were played, the time before counting included
  * @param broken      how often each rule broke
  */
-public record Summary(String scenario, String kind, long seed, String fingerprint, double seconds, double wallSeconds,
-        long events, Tally tally, Map<Rule, Integer> broken) {
+public record Summary(
+        String scenario,
+        String kind,
+        long seed,
+        String fingerprint,
+        double seconds,
+        double wallSeconds,
+        long events,
+        Tally tally,
+        Map<Rule, Integer> broken) {
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -60,7 +68,13 @@
         row(rows, "worth in time", "%.1f%%, worst 10 s %.1f%%", 100 * t.inTimeShare(), 100 * t.worstShare());
         row(rows, "latency p50 / p99", "%.0f ms / %.0f ms", t.latency(50) / 1e3, t.latency(99) / 1e3);
         row(rows, "hit share", "%.1f%%", 100 * t.hitShare());
-        row(rows, "origin fetches, writes", "%,d, %,d (%,d repeats dropped)", t.fetches(), t.writes(), t.repeatsDropped());
+        row(
+                rows,
+                "origin fetches, writes",
+                "%,d, %,d (%,d repeats dropped)",
+                t.fetches(),
+                t.writes(),
+                t.repeatsDropped());
         row(rows, "turned away by hosts", "%,d", t.turnedAwayByHosts());
         row(rows, "answers for nobody", "%,d", t.wastedRuns());
         row(rows, "rules broken", "%s", brokenCount() == 0 ? "none" : brokenCount() + " " + names());
@@ -75,24 +89,41 @@
     public ObjectNode json() {
         Tally t = tally;
         ObjectNode o = JSON.createObjectNode();
-        o.put("scenario", scenario).put("kind", kind).put("seed", seed).put("event_log_sha256", fingerprint)
-                .put("seconds", seconds).put("wall_seconds", wallSeconds).put("events", events);
-        o.put("asked", t.asked()).put("served_in_time", t.inTime()).put("served_late", t.late())
-                .put("refused", t.refused()).put("failed", t.failed()).put("unanswered", t.lost())
-                .put("unreached", t.unreached()).put("left", t.left()).put("tries", t.tries());
+        o.put("scenario", scenario)
+                .put("kind", kind)
+                .put("seed", seed)
+                .put("event_log_sha256", fingerprint)
+                .put("seconds", seconds)
+                .put("wall_seconds", wallSeconds)
+                .put("events", events);
+        o.put("asked", t.asked())
+                .put("served_in_time", t.inTime())
+                .put("served_late", t.late())
+                .put("refused", t.refused())
+                .put("failed", t.failed())
+                .put("unanswered", t.lost())
+                .put("unreached", t.unreached())
+                .put("left", t.left())
+                .put("tries", t.tries());
         o.put("worth_in_time", t.inTimeShare()).put("worst_10s", t.worstShare()).put("hit_share", t.hitShare());
         ObjectNode latency = o.putObject("latency_us");
         for (double p : new double[] {50, 90, 99, 99.9}) {
             latency.put("p" + (p == Math.rint(p) ? Long.toString((long) p) : Double.toString(p)), t.latency(p));
         }
-        o.put("origin_fetches", t.fetches()).put("origin_writes", t.writes())
-                .put("origin_repeats_dropped", t.repeatsDropped()).put("hosts_turned_away", t.turnedAwayByHosts())
-                .put("answers_for_nobody", t.wastedRuns()).put("probes", t.probes());
+        o.put("origin_fetches", t.fetches())
+                .put("origin_writes", t.writes())
+                .put("origin_repeats_dropped", t.repeatsDropped())
+                .put("hosts_turned_away", t.turnedAwayByHosts())
+                .put("answers_for_nobody", t.wastedRuns())
+                .put("probes", t.probes());
         ObjectNode rules = o.putObject("rules_broken");
         names().forEach(rules::put);
         ArrayNode seconds = o.putArray("per_second");
         for (Tally.Second s : t.seconds()) {
-            seconds.addObject().put("asked", s.asked).put("in_time", s.inTime).put("refused", s.refused)
+            seconds.addObject()
+                    .put("asked", s.asked)
+                    .put("in_time", s.inTime)
+                    .put("refused", s.refused)
                     .put("failed", s.failed);
         }
         return o;
--- a/emulator/src/main/java/baymoor/emulator/report/Tally.java
+++ b/emulator/src/main/java/baymoor/emulator/report/Tally.java
@@ -52,7 +52,15 @@
     }
 
     /** How a client's request ended, all its tries taken together. */
-    public enum End { IN_TIME, LATE, REFUSED, FAILED, LOST, UNREACHED, LEFT }
+    public enum End {
+        IN_TIME,
+        LATE,
+        REFUSED,
+        FAILED,
+        LOST,
+        UNREACHED,
+        LEFT
+    }
 
     public void tried() {
         tries++;
--- a/emulator/src/main/java/baymoor/emulator/scenario/Quantity.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/Quantity.java
@@ -30,7 +30,9 @@
 
     /** What a quantity is of. */
     enum Kind {
-        TIME(TIMES, "a time", "800ms"), SIZE(SIZES, "a size", "64KiB"), RATE(RATES, "a rate", "170/s"),
+        TIME(TIMES, "a time", "800ms"),
+        SIZE(SIZES, "a size", "64KiB"),
+        RATE(RATES, "a rate", "170/s"),
         SHARE(Map.of("%", 0.01), "a share", "25%");
 
         private final Map<String, Double> units;
@@ -53,7 +55,7 @@
         }
     }
 
-    private Quantity() { }
+    private Quantity() {}
 
     /** In microseconds, bytes, events a second, or as a share of 1. */
     static double read(String text, Kind kind) throws Unreadable {
@@ -67,8 +69,11 @@
         }
         Double factor = kind.units.get(unit);
         if (factor == null) {
-            String meant = kind.units.keySet().stream().filter(u -> u.equalsIgnoreCase(unit)).findFirst()
-                    .map(u -> "; did you mean \"" + matcher.group(1) + u + "\"?").orElse("");
+            String meant = kind.units.keySet().stream()
+                    .filter(u -> u.equalsIgnoreCase(unit))
+                    .findFirst()
+                    .map(u -> "; did you mean \"" + matcher.group(1) + u + "\"?")
+                    .orElse("");
             throw new Unreadable("\"" + text + "\" has the unit " + unit + ", which is none of "
                     + String.join(", ", kind.units.keySet()) + meant);
         }
@@ -76,7 +81,12 @@
     }
 
     static Unreadable bare(String number, Kind kind) {
-        return new Unreadable(String.format(Locale.ROOT, "%s has no unit; write %s such as \"%s\" (units: %s)", number,
-                kind.name, kind.example, String.join(", ", kind.units.keySet())));
+        return new Unreadable(String.format(
+                Locale.ROOT,
+                "%s has no unit; write %s such as \"%s\" (units: %s)",
+                number,
+                kind.name,
+                kind.example,
+                String.join(", ", kind.units.keySet())));
     }
 }
--- a/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
@@ -6,9 +6,25 @@
  * A world and what happens in it: fleet, traffic, and a script of troubles. All times are microseconds, all rates a
  * second, all sizes bytes. Read from a file by {@link ScenarioReader}.
  */
-public record Scenario(String name, String about, long seed, long warmUpMicros, long durationMicros, List<String> zones,
-        Net net, Balancers balancers, List<RouterKind> routers, Origin origin, Discovery discovery, Traffic traffic,
-        List<RequestClass> classes, List<Tenant> tenants, Keys keys, Figures figures, Told told, List<Act> script) {
+public record Scenario(
+        String name,
+        String about,
+        long seed,
+        long warmUpMicros,
+        long durationMicros,
+        List<String> zones,
+        Net net,
+        Balancers balancers,
+        List<RouterKind> routers,
+        Origin origin,
+        Discovery discovery,
+        Traffic traffic,
+        List<RequestClass> classes,
+        List<Tenant> tenants,
+        Keys keys,
+        Figures figures,
+        Told told,
+        List<Act> script) {
 
     public Scenario {
         zones = List.copyOf(zones);
@@ -19,8 +35,14 @@
     }
 
     /** Delays one way. {@code jitter}: mean of an exponential share on top. */
-    public record Net(long same, Span cross, long client, double jitter, Span datagram, double datagramLoss,
-            double datagramDouble) { }
+    public record Net(
+            long same,
+            Span cross,
+            long client,
+            double jitter,
+            Span datagram,
+            double datagramLoss,
+            double datagramDouble) {}
 
     /**
      * @param count       over all zones, dealt out in turn
@@ -28,28 +50,60 @@
      * @param eventMicros processor time for each event
      * @param sockets     descriptors that each may hold
      */
-    public record Balancers(int count, long startMicros, long eventMicros, int sockets, boolean peers, boolean probes) { }
+    public record Balancers(
+            int count, long startMicros, long eventMicros, int sockets, boolean peers, boolean probes) {}
 
     /** What a router does with a request whose time is up while it waits. */
-    public enum Expired { BEGIN, DROP, EITHER }
+    public enum Expired {
+        BEGIN,
+        DROP,
+        EITHER
+    }
 
     /**
      * Routers of one kind. {@code speed}: of a core, against the core that work is stated for. {@code slots}: in work
      * at a time for each core; {@code room}: waiting, for each core. More in work than {@code crowd} for each core
      * costs the share {@code thrash} of the speed for each one more.
      */
-    public record RouterKind(String name, int count, int cores, double speed, double speedSpread, int slots, int room,
-            double thrash, double crowd, long memory, long ttlMicros, double coldShare, Span coldMicros,
-            boolean warmsByWork, int connections, long handshakeMicros, long idleMicros, long missMicros,
-            double errorRate, Expired expired, Span pause, Span pauseEvery) { }
+    public record RouterKind(
+            String name,
+            int count,
+            int cores,
+            double speed,
+            double speedSpread,
+            int slots,
+            int room,
+            double thrash,
+            double crowd,
+            long memory,
+            long ttlMicros,
+            double coldShare,
+            Span coldMicros,
+            boolean warmsByWork,
+            int connections,
+            long handshakeMicros,
+            long idleMicros,
+            long missMicros,
+            double errorRate,
+            Expired expired,
+            Span pause,
+            Span pauseEvery) {}
 
     /**
      * The origin. {@code capacity}: requests a second; {@code slots}: in work at a time; {@code sigma}: of the
      * log-normal service time. Sent {@code fallMultiple} times its capacity for {@code fallMicros} it stops for
      * {@code downMicros}.
      */
-    public record Origin(double capacity, int slots, int room, double sigma, double errorRate, double fallMultiple,
-            long fallMicros, Span downMicros, int mostFalls) { }
+    public record Origin(
+            double capacity,
+            int slots,
+            int room,
+            double sigma,
+            double errorRate,
+            double fallMultiple,
+            long fallMicros,
+            Span downMicros,
+            int mostFalls) {}
 
     /**
      * Discovery. {@code notice}: until it knows that a process ended or drains; {@code silent}: until it knows of one
@@ -57,8 +111,15 @@
      * {@code callMicros} and {@code lineMicros} for each entry, and fails after waiting {@code patienceMicros}. Where
      * lists are {@code pushed}, an agent on each balancer's machine has them {@code spread} later and answers at once.
      */
-    public record Discovery(boolean pushed, Span notice, Span silent, Span add, Span spread, long callMicros,
-            long lineMicros, long patienceMicros) { }
+    public record Discovery(
+            boolean pushed,
+            Span notice,
+            Span silent,
+            Span add,
+            Span spread,
+            long callMicros,
+            long lineMicros,
+            long patienceMicros) {}
 
     /**
      * Open-loop traffic. {@code zoneShares}: of the zones in their order; {@code wave}: swing of a slow sine with the
@@ -66,34 +127,65 @@
      * up after {@code tryShare} of its class's time; {@code impatient}: share that leaves early. The front goes on
      * sending to a dead balancer for {@code frontNotice}.
      */
-    public record Traffic(double rate, List<Double> zoneShares, double wave, long wavePeriodMicros, double retry,
-            Span backoff, double honour, double leastTry, double mostTry, double impatient, Span frontNotice) {
+    public record Traffic(
+            double rate,
+            List<Double> zoneShares,
+            double wave,
+            long wavePeriodMicros,
+            double retry,
+            Span backoff,
+            double honour,
+            double leastTry,
+            double mostTry,
+            double impatient,
+            Span frontNotice) {
         public Traffic {
             zoneShares = List.copyOf(zoneShares);
         }
     }
 
     /** Whether a request of a class may run twice. */
-    public enum Effect { SAFE, KEYED, UNSAFE }
+    public enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** A class of requests; {@code write}: goes to the origin and voids the copies of its key. */
-    public record RequestClass(String name, double share, Effect effect, boolean write, Span work, long aimMicros,
-            long giveUpMicros, long windowMicros, double worth) { }
+    public record RequestClass(
+            String name,
+            double share,
+            Effect effect,
+            boolean write,
+            Span work,
+            long aimMicros,
+            long giveUpMicros,
+            long windowMicros,
+            double worth) {}
 
-    public record Tenant(String name, double share) { }
+    public record Tenant(String name, double share) {}
 
     /**
      * Keys: {@code count} of them, popular after Zipf with {@code exponent}; in a second {@code drift} of the popular
      * ones are replaced by new ones; {@code changes}: of keys a second at the origin. {@code prefill}: whether routers
      * hold what is popular when the run begins.
      */
-    public record Keys(int count, double exponent, double drift, double changes, long size, double sizeSigma,
-            boolean prefill) { }
+    public record Keys(
+            int count, double exponent, double drift, double changes, long size, double sizeSigma, boolean prefill) {}
 
     /** The figures of the rules, as the settings give them to a balancer. */
-    public record Figures(int maxAttempts, long connectMicros, long answerSlackMicros, long drainGraceMicros,
-            long askWithinMicros, double tipMultiple, long tipMicros, long maxRetryAfterMicros, boolean retryAfter,
-            boolean mayCancel, Reports reports) { }
+    public record Figures(
+            int maxAttempts,
+            long connectMicros,
+            long answerSlackMicros,
+            long drainGraceMicros,
+            long askWithinMicros,
+            double tipMultiple,
+            long tipMicros,
+            long maxRetryAfterMicros,
+            boolean retryAfter,
+            boolean mayCancel,
+            Reports reports) {}
 
     /**
      * What a balancer is told beside the request itself, and what it is granted. {@code work}, {@code sizes},
@@ -101,28 +193,76 @@
      * {@code byWork}: whether worth counts by work; {@code cpuMicros}: processor time for decisions in a second;
      * {@code streams}: requests that a connection may carry at a time.
      */
-    public record Told(boolean work, boolean sizes, boolean retries, boolean byWork, double overShare, long cpuMicros,
-            double cpuPerRequestMicros, int streams) { }
+    public record Told(
+            boolean work,
+            boolean sizes,
+            boolean retries,
+            boolean byWork,
+            double overShare,
+            long cpuMicros,
+            double cpuPerRequestMicros,
+            int streams) {}
 
     /** How routers report their load: not at all, with every answer, or when they are asked. */
-    public enum Reports { OFF, INLINE, ON_PROBE }
+    public enum Reports {
+        OFF,
+        INLINE,
+        ON_PROBE
+    }
 
     /** What can happen to the world. */
     public enum What {
-        SURGE, SCAN, CUT, SLOW_ORIGIN, STOP_ORIGIN, RESTART_BALANCERS, KILL_BALANCER, VANISH_BALANCER, STALL_BALANCER,
-        RESTART_ROUTER, REPLACE_ROUTER, DRAIN_ROUTER, VANISH_ROUTER, PAUSE_ROUTER, SLOW_ROUTER, HANG_ROUTER, BAD_ROUTER,
-        DISCOVERY_DOWN, DISCOVERY_SLOW, LOSE_DATAGRAMS, FLUSH, HOT_KEY
+        SURGE,
+        SCAN,
+        CUT,
+        SLOW_ORIGIN,
+        STOP_ORIGIN,
+        RESTART_BALANCERS,
+        KILL_BALANCER,
+        VANISH_BALANCER,
+        STALL_BALANCER,
+        RESTART_ROUTER,
+        REPLACE_ROUTER,
+        DRAIN_ROUTER,
+        VANISH_ROUTER,
+        PAUSE_ROUTER,
+        SLOW_ROUTER,
+        HANG_ROUTER,
+        BAD_ROUTER,
+        DISCOVERY_DOWN,
+        DISCOVERY_SLOW,
+        LOSE_DATAGRAMS,
+        FLUSH,
+        HOT_KEY
     }
 
     /** How a bad router spoils its answers. */
-    public enum Spoil { GARBLE, CUT_SHORT, DOUBLE, RESET, ERROR, SILENT }
+    public enum Spoil {
+        GARBLE,
+        CUT_SHORT,
+        DOUBLE,
+        RESET,
+        ERROR,
+        SILENT
+    }
 
     /**
      * One act of the script: {@code count} of its objects (chosen by the seed, or {@code zone}'s), for a time, by a
      * factor or a share. {@code withinMicros}: spread over so long; {@code atOnce}: so large a share at a time.
      */
-    public record Act(What what, long atMicros, long forMicros, double factor, double share, int count, String zone,
-            long withinMicros, double atOnce, Spoil spoil, boolean planned, int line) { }
+    public record Act(
+            What what,
+            long atMicros,
+            long forMicros,
+            double factor,
+            double share,
+            int count,
+            String zone,
+            long withinMicros,
+            double atOnce,
+            Spoil spoil,
+            boolean planned,
+            int line) {}
 
     public int routerCount() {
         return routers.stream().mapToInt(RouterKind::count).sum();
--- a/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
@@ -48,7 +48,7 @@
 
     private final List<Mistake> mistakes = new ArrayList<>();
 
-    private ScenarioReader() { }
+    private ScenarioReader() {}
 
     public static Scenario read(Path file) throws BadScenario {
         try {
@@ -64,7 +64,8 @@
         TomlParseResult parsed = Toml.parse(text);
         for (TomlParseError error : parsed.errors()) {
             int line = error.position().line();
-            reader.mistakes.add(new Mistake(line, error.position().column(), explained(text, line, error.getMessage())));
+            reader.mistakes.add(
+                    new Mistake(line, error.position().column(), explained(text, line, error.getMessage())));
         }
         Scenario scenario = null;
         if (reader.mistakes.isEmpty()) {
@@ -89,8 +90,10 @@
     private static String explained(String text, int line, String message) {
         String at = text.lines().skip(Math.max(0, line - 1)).findFirst().orElse("");
         Matcher bare = BARE_UNIT.matcher(at);
-        return bare.matches() ? bare.group(1) + " = " + bare.group(2).trim() + ": a quantity stands in quotes; write "
-                + bare.group(1) + " = \"" + bare.group(2).trim() + "\"" : "not TOML: " + message;
+        return bare.matches()
+                ? bare.group(1) + " = " + bare.group(2).trim() + ": a quantity stands in quotes; write " + bare.group(1)
+                        + " = \"" + bare.group(2).trim() + "\""
+                : "not TOML: " + message;
     }
 
     private static String name(String file) {
@@ -112,19 +115,38 @@
             top.mistake("zones", "names no zone");
             zones = List.of("a");
         }
-        Scenario scenario = new Scenario(name, about, seed, warmUp, duration, zones, net(top.table("net")),
-                balancers(top.table("balancers")), routers(top), origin(top.table("origin")),
-                discovery(top.table("discovery")), traffic(top.table("traffic"), zones.size()), classes(top), tenants(top),
-                keys(top.table("keys")), figures(top.table("rules")), told(top.table("told")),
+        Scenario scenario = new Scenario(
+                name,
+                about,
+                seed,
+                warmUp,
+                duration,
+                zones,
+                net(top.table("net")),
+                balancers(top.table("balancers")),
+                routers(top),
+                origin(top.table("origin")),
+                discovery(top.table("discovery")),
+                traffic(top.table("traffic"), zones.size()),
+                classes(top),
+                tenants(top),
+                keys(top.table("keys")),
+                figures(top.table("rules")),
+                told(top.table("told")),
                 script(top, zones, warmUp + duration));
         top.end();
         return scenario;
     }
 
     private Net net(Table t) {
-        Net net = new Net(t.time("same_zone", 250), t.times("cross_zone", new Span(5_600, 10_000)),
-                t.time("client", 700), t.number("jitter", 0, 10, 0.2), t.times("datagram", new Span(MS, 20 * MS)),
-                t.share("datagram_loss", 0.01), t.share("datagram_double", 0.005));
+        Net net = new Net(
+                t.time("same_zone", 250),
+                t.times("cross_zone", new Span(5_600, 10_000)),
+                t.time("client", 700),
+                t.number("jitter", 0, 10, 0.2),
+                t.times("datagram", new Span(MS, 20 * MS)),
+                t.share("datagram_loss", 0.01),
+                t.share("datagram_double", 0.005));
         t.end();
         return net;
     }
@@ -134,8 +156,13 @@
         if (count > MOST_BALANCERS) {
             t.mistake("count", "is over " + MOST_BALANCERS);
         }
-        Balancers balancers = new Balancers(count, t.time("start", SECOND), t.time("event", 30),
-                (int) t.whole("sockets", 128, 1024), t.flag("peers", true), t.flag("probes", true));
+        Balancers balancers = new Balancers(
+                count,
+                t.time("start", SECOND),
+                t.time("event", 30),
+                (int) t.whole("sockets", 128, 1024),
+                t.flag("peers", true),
+                t.flag("probes", true));
         t.end();
         return balancers;
     }
@@ -166,24 +193,50 @@
     }
 
     private RouterKind kind(Table t) {
-        return kindOf(t, t.text("kind", null), (int) t.whole("count", 0, 1), (int) t.whole("cores", 1, 2),
+        return kindOf(
+                t,
+                t.text("kind", null),
+                (int) t.whole("count", 0, 1),
+                (int) t.whole("cores", 1, 2),
                 t.number("speed", 0.01, 100, 1));
     }
 
     private static RouterKind kindOf(Table t, String name, int count, int cores, double speed) {
-        return new RouterKind(name == null ? "" : name, count, cores, speed, t.share("speed_spread", 0.1),
-                (int) t.whole("slots", 1, 4), (int) t.whole("room", 0, 20), t.share("thrash", 0), t.number("crowd", 1,
-                1000, 6), t.size("memory", 16L << 20), t.time("ttl", 0), t.share("cold_share", 0.2),
-                t.times("cold", new Span(11 * SECOND, 23 * SECOND)), t.flag("warms_by_work", false),
-                (int) t.whole("connections", 1, 1500), t.time("handshake", 3 * MS), t.time("idle_close", 30 * SECOND),
-                t.time("miss", MS), t.share("errors", 0.001), t.word("expired", Expired.class, Expired.EITHER),
-                t.times("pause", new Span(0, 60 * MS)), t.times("pause_every", new Span(5 * SECOND, 12 * SECOND)));
+        return new RouterKind(
+                name == null ? "" : name,
+                count,
+                cores,
+                speed,
+                t.share("speed_spread", 0.1),
+                (int) t.whole("slots", 1, 4),
+                (int) t.whole("room", 0, 20),
+                t.share("thrash", 0),
+                t.number("crowd", 1, 1000, 6),
+                t.size("memory", 16L << 20),
+                t.time("ttl", 0),
+                t.share("cold_share", 0.2),
+                t.times("cold", new Span(11 * SECOND, 23 * SECOND)),
+                t.flag("warms_by_work", false),
+                (int) t.whole("connections", 1, 1500),
+                t.time("handshake", 3 * MS),
+                t.time("idle_close", 30 * SECOND),
+                t.time("miss", MS),
+                t.share("errors", 0.001),
+                t.word("expired", Expired.class, Expired.EITHER),
+                t.times("pause", new Span(0, 60 * MS)),
+                t.times("pause_every", new Span(5 * SECOND, 12 * SECOND)));
     }
 
     private Origin origin(Table t) {
-        Origin origin = new Origin(t.rate("capacity", 40), (int) t.whole("slots", 1, 6), (int) t.whole("room", 0, 60),
-                t.number("sigma", 0, 3, 0.4), t.share("errors", 0.001), t.number("fall_multiple", 1, 1000, 2.5),
-                t.time("fall", 3 * SECOND), t.times("down", new Span(3 * SECOND, 6 * SECOND)),
+        Origin origin = new Origin(
+                t.rate("capacity", 40),
+                (int) t.whole("slots", 1, 6),
+                (int) t.whole("room", 0, 60),
+                t.number("sigma", 0, 3, 0.4),
+                t.share("errors", 0.001),
+                t.number("fall_multiple", 1, 1000, 2.5),
+                t.time("fall", 3 * SECOND),
+                t.times("down", new Span(3 * SECOND, 6 * SECOND)),
                 (int) t.whole("most_falls", 0, 2));
         if (origin.capacity() <= 0) {
             t.mistake("capacity", "is 0");
@@ -193,9 +246,14 @@
     }
 
     private Discovery discovery(Table t) {
-        Discovery discovery = new Discovery(t.flag("pushed", false), t.times("notice", new Span(SECOND, 3_800 * MS)),
-                t.times("silent", new Span(4_500 * MS, 12 * SECOND)), t.times("add", new Span(300 * MS, 2 * SECOND)),
-                t.times("spread", new Span(25 * MS, 1_300 * MS)), t.time("call", 20 * MS), t.time("line", MS),
+        Discovery discovery = new Discovery(
+                t.flag("pushed", false),
+                t.times("notice", new Span(SECOND, 3_800 * MS)),
+                t.times("silent", new Span(4_500 * MS, 12 * SECOND)),
+                t.times("add", new Span(300 * MS, 2 * SECOND)),
+                t.times("spread", new Span(25 * MS, 1_300 * MS)),
+                t.time("call", 20 * MS),
+                t.time("line", MS),
                 t.time("patience", 2 * SECOND));
         t.end();
         return discovery;
@@ -211,10 +269,17 @@
             t.mistake("zone_shares", "has " + shares.size() + " shares for " + zones + " zones");
             shares = even;
         }
-        Traffic traffic = new Traffic(t.rate("rate", 170), shares, t.share("wave", 0.2),
-                t.time("wave_period", 20 * SECOND), t.share("retry", 0.5),
-                t.times("backoff", new Span(30 * MS, 240 * MS)), t.share("honour", 0.9), t.share("least_try", 0.7),
-                t.share("most_try", 1), t.share("impatient", 0.02),
+        Traffic traffic = new Traffic(
+                t.rate("rate", 170),
+                shares,
+                t.share("wave", 0.2),
+                t.time("wave_period", 20 * SECOND),
+                t.share("retry", 0.5),
+                t.times("backoff", new Span(30 * MS, 240 * MS)),
+                t.share("honour", 0.9),
+                t.share("least_try", 0.7),
+                t.share("most_try", 1),
+                t.share("impatient", 0.02),
                 t.times("front_notice", new Span(950 * MS, 3_300 * MS)));
         if (traffic.rate() <= 0) {
             t.mistake("rate", "is 0");
@@ -228,9 +293,16 @@
         List<Table> tables = top.tables("classes");
         for (Table t : tables) {
             Effect effect = t.word("effect", Effect.class, Effect.SAFE);
-            RequestClass c = new RequestClass(t.text("name", null), t.share("share", 1), effect,
-                    t.flag("write", effect != Effect.SAFE), t.times("work", new Span(97 * MS, 170 * MS)),
-                    t.time("aim"), t.time("give_up"), t.time("window", 0), t.number("worth", 0, 1000, 1));
+            RequestClass c = new RequestClass(
+                    t.text("name", null),
+                    t.share("share", 1),
+                    effect,
+                    t.flag("write", effect != Effect.SAFE),
+                    t.times("work", new Span(97 * MS, 170 * MS)),
+                    t.time("aim"),
+                    t.time("give_up"),
+                    t.time("window", 0),
+                    t.number("worth", 0, 1000, 1));
             if (effect == Effect.KEYED && c.windowMicros() == 0) {
                 t.mistake("window", "is missing: a keyed class has a time in which a repeat is dropped");
             }
@@ -241,12 +313,28 @@
             t.end();
         }
         if (tables.isEmpty()) {
-            classes.add(new RequestClass("map-read", 0.969, Effect.SAFE, false, new Span(97 * MS, 170 * MS), 800 * MS,
-                    1_500 * MS, 0, 1));
-            classes.add(new RequestClass("search-order", 0.019, Effect.UNSAFE, true, new Span(100 * MS, 190 * MS),
-                    750 * MS, 1_500 * MS, 0, 2));
-            classes.add(new RequestClass("parcel-watch", 0.012, Effect.KEYED, true, new Span(130 * MS, 240 * MS),
-                    1_200 * MS, 5 * SECOND, 25 * SECOND, 2));
+            classes.add(new RequestClass(
+                    "map-read", 0.969, Effect.SAFE, false, new Span(97 * MS, 170 * MS), 800 * MS, 1_500 * MS, 0, 1));
+            classes.add(new RequestClass(
+                    "search-order",
+                    0.019,
+                    Effect.UNSAFE,
+                    true,
+                    new Span(100 * MS, 190 * MS),
+                    750 * MS,
+                    1_500 * MS,
+                    0,
+                    2));
+            classes.add(new RequestClass(
+                    "parcel-watch",
+                    0.012,
+                    Effect.KEYED,
+                    true,
+                    new Span(130 * MS, 240 * MS),
+                    1_200 * MS,
+                    5 * SECOND,
+                    25 * SECOND,
+                    2));
         }
         sum(top, "classes", classes.stream().mapToDouble(RequestClass::share).sum());
         return classes;
@@ -273,26 +361,44 @@
     }
 
     private Keys keys(Table t) {
-        Keys keys = new Keys((int) t.whole("count", 1, 8_000), t.number("exponent", 0.01, 5, 0.95),
-                t.share("drift", 0.0005), t.rate("changes", 0), t.size("size", 4 << 10), t.number("size_sigma", 0, 3, 0.5),
+        Keys keys = new Keys(
+                (int) t.whole("count", 1, 8_000),
+                t.number("exponent", 0.01, 5, 0.95),
+                t.share("drift", 0.0005),
+                t.rate("changes", 0),
+                t.size("size", 4 << 10),
+                t.number("size_sigma", 0, 3, 0.5),
                 t.flag("prefill", true));
         t.end();
         return keys;
     }
 
     private Figures figures(Table t) {
-        Figures figures = new Figures((int) t.whole("max_attempts", 1, 5), t.time("connect", 250 * MS),
-                t.time("answer_slack", 20 * MS), t.time("drain_grace", 500 * MS), t.time("ask_within", 10 * SECOND),
-                t.number("tip_multiple", 1, MANY, 3), t.time("tip", 3 * SECOND), t.time("max_retry_after", 2 * SECOND),
-                t.flag("retry_after", true), t.flag("may_cancel", true),
+        Figures figures = new Figures(
+                (int) t.whole("max_attempts", 1, 5),
+                t.time("connect", 250 * MS),
+                t.time("answer_slack", 20 * MS),
+                t.time("drain_grace", 500 * MS),
+                t.time("ask_within", 10 * SECOND),
+                t.number("tip_multiple", 1, MANY, 3),
+                t.time("tip", 3 * SECOND),
+                t.time("max_retry_after", 2 * SECOND),
+                t.flag("retry_after", true),
+                t.flag("may_cancel", true),
                 t.word("reports", Scenario.Reports.class, Scenario.Reports.OFF));
         t.end();
         return figures;
     }
 
     private Told told(Table t) {
-        Told told = new Told(t.flag("work", true), t.flag("sizes", true), t.flag("retries", true), t.flag("by_work", true),
-                t.share("over_share", 0.1), t.time("cpu", 400 * MS), t.number("cpu_per_request", 0, MANY, 0),
+        Told told = new Told(
+                t.flag("work", true),
+                t.flag("sizes", true),
+                t.flag("retries", true),
+                t.flag("by_work", true),
+                t.share("over_share", 0.1),
+                t.time("cpu", 400 * MS),
+                t.number("cpu_per_request", 0, MANY, 0),
                 (int) t.whole("streams", 1, 32));
         t.end();
         return told;
@@ -316,14 +422,27 @@
                 t.mistake("zone", "is missing: it is the zone that is cut off from the others");
             }
             double factor = t.number("factor", 0, 1000, 2);
-            if ((what == What.SURGE || what == What.SLOW_ORIGIN || what == What.SLOW_ROUTER
-                    || what == What.DISCOVERY_SLOW) && !t.has("factor")) {
+            if ((what == What.SURGE
+                            || what == What.SLOW_ORIGIN
+                            || what == What.SLOW_ROUTER
+                            || what == What.DISCOVERY_SLOW)
+                    && !t.has("factor")) {
                 t.mistake("factor", "is missing: how many times more, or slower");
             }
             Spoil spoil = t.word("spoil", Spoil.class, Spoil.GARBLE);
-            acts.add(new Act(what, at, lasting, factor, t.share("share", what == What.SCAN || what == What.HOT_KEY ? 0.1 : 1),
-                    (int) t.whole("count", 1, 1), zone, t.time("within", 0), t.share("at_once", 0.25), spoil,
-                    t.flag("planned", true), t.line()));
+            acts.add(new Act(
+                    what,
+                    at,
+                    lasting,
+                    factor,
+                    t.share("share", what == What.SCAN || what == What.HOT_KEY ? 0.1 : 1),
+                    (int) t.whole("count", 1, 1),
+                    zone,
+                    t.time("within", 0),
+                    t.share("at_once", 0.25),
+                    spoil,
+                    t.flag("planned", true),
+                    t.line()));
             t.end();
         }
         acts.sort(java.util.Comparator.comparingLong(Act::atMicros));
--- a/emulator/src/main/java/baymoor/emulator/scenario/Table.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/Table.java
@@ -61,8 +61,11 @@
             mistake(field, "is not a table");
         }
         boolean there = value instanceof TomlTable;
-        return new Table(there ? (TomlTable) value : org.tomlj.Toml.parse(""), path + field + ".",
-                there ? table.inputPositionOf(List.of(field)) : place, mistakes);
+        return new Table(
+                there ? (TomlTable) value : org.tomlj.Toml.parse(""),
+                path + field + ".",
+                there ? table.inputPositionOf(List.of(field)) : place,
+                mistakes);
     }
 
     /** An array of tables, empty where there is none. */
@@ -71,8 +74,8 @@
         List<Table> all = new ArrayList<>();
         if (value instanceof TomlArray array && array.toList().stream().allMatch(TomlTable.class::isInstance)) {
             for (int i = 0; i < array.size(); i++) {
-                all.add(new Table(array.getTable(i), path + field + "[" + (i + 1) + "].", array.inputPositionOf(i),
-                        mistakes));
+                all.add(new Table(
+                        array.getTable(i), path + field + "[" + (i + 1) + "].", array.inputPositionOf(i), mistakes));
             }
         } else if (value != null) {
             mistake(field, "is not a list of tables; write [[" + path + field + "]]");
@@ -256,7 +259,8 @@
             }
         }
         if (text != null) {
-            String all = Arrays.stream(words.getEnumConstants()).map(Table::word).collect(Collectors.joining(", "));
+            String all =
+                    Arrays.stream(words.getEnumConstants()).map(Table::word).collect(Collectors.joining(", "));
             mistake(field, "= \"" + text + "\" is none of " + all);
         }
         return absent;
@@ -270,8 +274,11 @@
     void end() {
         for (String field : table.keySet()) {
             if (!asked.contains(field)) {
-                String near = asked.stream().filter(a -> LIKENESS.apply(a, field) >= 0).findFirst()
-                        .map(a -> "; did you mean " + a + "?").orElse("; known here: " + String.join(", ", asked));
+                String near = asked.stream()
+                        .filter(a -> LIKENESS.apply(a, field) >= 0)
+                        .findFirst()
+                        .map(a -> "; did you mean " + a + "?")
+                        .orElse("; known here: " + String.join(", ", asked));
                 mistake(field, "is not a field" + near);
             }
         }
--- a/emulator/src/main/java/baymoor/emulator/sockets/Configurations.java
+++ b/emulator/src/main/java/baymoor/emulator/sockets/Configurations.java
@@ -10,7 +10,7 @@
 /** Writes what real balancers are told at their start. */
 final class Configurations {
 
-    private Configurations() { }
+    private Configurations() {}
 
     /** The file of one balancer, as it should start now. */
     static Path write(Scenario scenario, SocketPlatform platform, World world, long seed, int number, Path folder)
--- a/emulator/src/main/java/baymoor/emulator/sockets/PeerPaths.java
+++ b/emulator/src/main/java/baymoor/emulator/sockets/PeerPaths.java
@@ -19,7 +19,7 @@
 final class PeerPaths {
 
     /** Who sends to an address, and to whom that goes on. */
-    private record Path(int from, int to) { }
+    private record Path(int from, int to) {}
 
     private final Map<SocketAddress, Path> paths = new HashMap<>();
     private final NioDatagramAcceptor acceptor = new NioDatagramAcceptor();
@@ -49,7 +49,8 @@
                 buffer.get(bytes);
                 Path path = all.paths.get(session.getLocalAddress());
                 if (path != null) {
-                    thread.post(() -> fabric.datagram(path.from() % zones, path.to() % zones, () -> all.pass(path, bytes)));
+                    thread.post(
+                            () -> fabric.datagram(path.from() % zones, path.to() % zones, () -> all.pass(path, bytes)));
                 }
             }
 
--- a/emulator/src/main/java/baymoor/emulator/sockets/ProcessFleet.java
+++ b/emulator/src/main/java/baymoor/emulator/sockets/ProcessFleet.java
@@ -52,8 +52,18 @@
      * @param home    where the command is started
      * @param command that serves, for a shell
      */
-    public ProcessFleet(Scenario scenario, SocketPlatform platform, MinaNet net, DecisionThread thread, World world,
-            Judge judge, Watcher watcher, UniformRandomProvider seeds, Path folder, Path home, String command) {
+    public ProcessFleet(
+            Scenario scenario,
+            SocketPlatform platform,
+            MinaNet net,
+            DecisionThread thread,
+            World world,
+            Judge judge,
+            Watcher watcher,
+            UniformRandomProvider seeds,
+            Path folder,
+            Path home,
+            String command) {
         this.scenario = scenario;
         this.platform = platform;
         this.net = net;
@@ -80,10 +90,15 @@
         world.starts(b.number);
         try {
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command).directory(home.toFile());
-            builder.environment().put("ROUTER_CONFIG", Configurations.write(scenario, platform, world, seeds.nextLong(), b.number, folder)
-                    .toAbsolutePath().toString());
-            builder.redirectOutput(ProcessBuilder.Redirect.DISCARD).redirectError(ProcessBuilder.Redirect
-                    .appendTo(folder.resolve("n" + b.number + ".log").toFile()));
+            builder.environment()
+                    .put(
+                            "ROUTER_CONFIG",
+                            Configurations.write(scenario, platform, world, seeds.nextLong(), b.number, folder)
+                                    .toAbsolutePath()
+                                    .toString());
+            builder.redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                    .redirectError(ProcessBuilder.Redirect.appendTo(
+                            folder.resolve("n" + b.number + ".log").toFile()));
             Process process = builder.start();
             b.process = process;
             b.expected = false;
@@ -107,7 +122,11 @@
     }
 
     private void awaitAnswer(Balancer b, Process process) {
-        Call.until(net, thread, platform.balancer(b.number), () -> b.process == process && process.isAlive() && !ending,
+        Call.until(
+                net,
+                thread,
+                platform.balancer(b.number),
+                () -> b.process == process && process.isAlive() && !ending,
                 () -> {
                     if (b.process == process && !b.expected) {
                         b.up = true;
--- a/emulator/src/main/java/baymoor/emulator/sockets/SocketPlatform.java
+++ b/emulator/src/main/java/baymoor/emulator/sockets/SocketPlatform.java
@@ -80,7 +80,8 @@
             try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
                 int found = any.getLocalPort();
                 if (found < 65_535) {
-                    try (ServerSocket at = new ServerSocket(found, 1, address(BALANCERS_NET, 0, 1).getAddress())) {
+                    try (ServerSocket at = new ServerSocket(
+                            found, 1, address(BALANCERS_NET, 0, 1).getAddress())) {
                         return at.getLocalPort();
                     }
                 }
@@ -115,8 +116,9 @@
     @Override
     public void listenBeside(int balancer, int place, String host, int zone, Acceptor acceptor) {
         try {
-            net.listen(address(place, balancer), link -> fabric.between(link, balancer % zones, zone,
-                    wire -> acceptor.accept(wire, balancer)));
+            net.listen(
+                    address(place, balancer),
+                    link -> fabric.between(link, balancer % zones, zone, wire -> acceptor.accept(wire, balancer)));
         } catch (IOException e) {
             throw new UncheckedIOException(host + " can't listen at " + address(place, balancer), e);
         }
--- a/emulator/src/main/java/baymoor/emulator/sockets/SocketRouter.java
+++ b/emulator/src/main/java/baymoor/emulator/sockets/SocketRouter.java
@@ -15,7 +15,7 @@
 
     private static final long MORE_SECONDS = 30;
 
-    private SocketRouter() { }
+    private SocketRouter() {}
 
     public static RouterLoad play(Scenario scenario, long seed, double load) throws IOException, InterruptedException {
         String[] failure = new String[1];
--- a/emulator/src/main/java/baymoor/emulator/sockets/SocketRun.java
+++ b/emulator/src/main/java/baymoor/emulator/sockets/SocketRun.java
@@ -32,17 +32,17 @@
     private static final int MOST_KEPT = 100;
 
     /** How far it has come. {@code phase} is one word; seconds are those played so far and in all. */
-    public record Progress(String phase, double seconds, double of, long asked, long inTime, int broken) { }
+    public record Progress(String phase, double seconds, double of, long asked, long inTime, int broken) {}
 
     /**
      * @param folder  for configurations and logs
      * @param home    where the serving command is started
      * @param command that serves, for a shell
      */
-    public record Options(long seed, Path folder, Path home, String command, Consumer<Progress> progress) { }
+    public record Options(long seed, Path folder, Path home, String command, Consumer<Progress> progress) {}
 
     /** What came of it; {@code faults} is what befell the ways between the processes. */
-    public record Result(Summary summary, List<Broken> broken, Fabric.Counts faults) { }
+    public record Result(Summary summary, List<Broken> broken, Fabric.Counts faults) {}
 
     private final Scenario scenario;
     private final Options options;
@@ -97,16 +97,33 @@
             throw new IOException(failure);
         }
         double seconds = (thread.read() - began) / 1e6;
-        return new Result(new Summary(scenario.name(), "sockets", options.seed(), "", seconds, seconds, 0, tally, judge.counts()),
-                List.copyOf(broken), platform.faults());
+        return new Result(
+                new Summary(scenario.name(), "sockets", options.seed(), "", seconds, seconds, 0, tally, judge.counts()),
+                List.copyOf(broken),
+                platform.faults());
     }
 
     private void prepare(SocketPlatform platform, Streams streams) {
-        world = new World(scenario, platform, streams, judge, tally,
+        world = new World(
+                scenario,
+                platform,
+                streams,
+                judge,
+                tally,
                 (what, whom) -> LOG.atDebug().addKeyValue("whom", whom).log(what));
         Fleet.Watcher watcher = world.clients();
-        fleet = new ProcessFleet(scenario, platform, net, thread, world, judge, watcher, streams.of("balancers"),
-                options.folder(), options.home(), options.command());
+        fleet = new ProcessFleet(
+                scenario,
+                platform,
+                net,
+                thread,
+                world,
+                judge,
+                watcher,
+                streams.of("balancers"),
+                options.folder(),
+                options.home(),
+                options.command());
         world.open(fleet);
         fleet.startAll();
         began = thread.now();
@@ -115,8 +132,8 @@
 
     private void report(String phase, double seconds) {
         double of = (scenario.warmUpMicros() + scenario.durationMicros()) / 1e6;
-        options.progress().accept(new Progress(phase, Math.min(of, seconds), of, tally.asked(), tally.inTime(),
-                broken.size()));
+        options.progress()
+                .accept(new Progress(phase, Math.min(of, seconds), of, tally.asked(), tally.inTime(), broken.size()));
     }
 
     private void awaitReady(long until) {
--- a/emulator/src/main/java/baymoor/emulator/sockets/StandIns.java
+++ b/emulator/src/main/java/baymoor/emulator/sockets/StandIns.java
@@ -59,7 +59,10 @@
     private void open(Path folder, boolean load) throws IOException, InterruptedException {
         Streams streams = new Streams(seed);
         platform = new SocketPlatform(thread, net, scenario, streams);
-        judge = new Judge(thread::now, scenario.figures(), platform.slackMicros(),
+        judge = new Judge(
+                thread::now,
+                scenario.figures(),
+                platform.slackMicros(),
                 b -> LOG.atError().addKeyValue("rule", b.rule()).log(b.text()));
         new Thread(thread, "world").start();
         CompletableFuture<Void> opened = new CompletableFuture<>();
@@ -81,7 +84,12 @@
 
     private void prepare(Streams streams, Path folder, boolean load) throws IOException {
         platform.openPeers();
-        world = new World(scenario, platform, streams, judge, tally,
+        world = new World(
+                scenario,
+                platform,
+                streams,
+                judge,
+                tally,
                 (what, whom) -> LOG.atInfo().addKeyValue("whom", whom).log(what));
         Others fleet = new Others(scenario.balancers().count());
         world.open(fleet);
--- a/emulator/src/main/java/baymoor/emulator/virtual/EventLog.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/EventLog.java
@@ -36,8 +36,18 @@
 
     void line(String what, String who, String whom, long figure, long sum) {
         count++;
-        lines.append(engine.elapsed()).append(' ').append(what).append(' ').append(who).append(' ').append(whom)
-                .append(' ').append(figure).append(' ').append(sum).append('\n');
+        lines.append(engine.elapsed())
+                .append(' ')
+                .append(what)
+                .append(' ')
+                .append(who)
+                .append(' ')
+                .append(whom)
+                .append(' ')
+                .append(figure)
+                .append(' ')
+                .append(sum)
+                .append('\n');
         if (lines.length() >= FLUSH_AT) {
             flush();
         }
--- a/emulator/src/main/java/baymoor/emulator/virtual/RelayTap.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/RelayTap.java
@@ -54,7 +54,8 @@
             String head = new String(bytes, 0, end, StandardCharsets.ISO_8859_1);
             int body = head.indexOf("\r\n\r\n");
             int at = head.indexOf(ID_HEADER);
-            return at < 0 || body >= 0 && at > body ? null
+            return at < 0 || body >= 0 && at > body
+                    ? null
                     : head.substring(at + ID_HEADER.length(), head.indexOf('\r', at));
         }
         int at = 1;
--- a/emulator/src/main/java/baymoor/emulator/virtual/Sabotage.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/Sabotage.java
@@ -10,7 +10,7 @@
  */
 interface Sabotage {
 
-    Sabotage NONE = new Sabotage() { };
+    Sabotage NONE = new Sabotage() {};
 
     /** The connections that a balancer opens. */
     default Dialer dialer(Time time, Dialer real) {
--- a/emulator/src/main/java/baymoor/emulator/virtual/Speed.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/Speed.java
@@ -13,7 +13,7 @@
 public final class Speed {
 
     /** {@code times}: virtual seconds for each real one; medians over the repeats. */
-    public record Row(String name, double times, double eventsPerSecond, double nanosPerEvent) { }
+    public record Row(String name, double times, double eventsPerSecond, double nanosPerEvent) {}
 
     private record Size(String name, int balancers, int routers, int rate, int seconds) {
         Scenario scenario() {
@@ -43,9 +43,16 @@
                     count = %d
                     [traffic]
                     rate = "%d/s"
-                    """.formatted(seconds, balancers, routers - routers * 5 / 12, routers * 5 / 12,
-                    Math.round(40 * shareOfUsual), Math.round(6 * shareOfUsual) + 1, Math.round(60 * shareOfUsual),
-                    Math.round(8000 * Math.max(1, Math.sqrt(shareOfUsual))), rate);
+                    """.formatted(
+                            seconds,
+                            balancers,
+                            routers - routers * 5 / 12,
+                            routers * 5 / 12,
+                            Math.round(40 * shareOfUsual),
+                            Math.round(6 * shareOfUsual) + 1,
+                            Math.round(60 * shareOfUsual),
+                            Math.round(8000 * Math.max(1, Math.sqrt(shareOfUsual))),
+                            rate);
             return ScenarioReader.own(text, name);
         }
     }
@@ -56,7 +63,7 @@
             new Size("4 balancers, 1,300 routers, 17,000/s", 4, 1_300, 17_000, 3),
             new Size("100 balancers, 1,000 routers, 10,000/s", 100, 1_000, 10_000, 2));
 
-    private Speed() { }
+    private Speed() {}
 
     public static List<Row> run(int repeats, Consumer<String> progress) {
         double[][] times = new double[SIZES.size()][repeats];
@@ -64,8 +71,8 @@
         for (int i = -1; i < repeats; i++) {
             for (int s = 0; s < (i < 0 ? 1 : SIZES.size()); s++) { // the smallest warms up for all
                 progress.accept("run " + (i + 1) + " of " + repeats + ": " + SIZES.get(s).name);
-                VirtualRun.Result r = VirtualRun.play(SIZES.get(s).scenario(), new VirtualRun.Options(1, null, true,
-                        at -> { }));
+                VirtualRun.Result r =
+                        VirtualRun.play(SIZES.get(s).scenario(), new VirtualRun.Options(1, null, true, at -> {}));
                 if (i >= 0) {
                     times[s][i] = r.virtual() * 1e3 / r.wallNanos();
                     events[s][i] = r.events() * 1e9 / r.wallNanos();
@@ -84,8 +91,11 @@
 
     public static ArrayNode json(List<Row> rows) {
         ArrayNode all = new ObjectMapper().createArrayNode();
-        rows.forEach(r -> all.addObject().put("fleet", r.name).put("virtual_seconds_per_second", r.times)
-                .put("events_per_second", r.eventsPerSecond).put("nanos_per_event", r.nanosPerEvent));
+        rows.forEach(r -> all.addObject()
+                .put("fleet", r.name)
+                .put("virtual_seconds_per_second", r.times)
+                .put("events_per_second", r.eventsPerSecond)
+                .put("nanos_per_event", r.nanosPerEvent));
         return all;
     }
 }
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualFleet.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualFleet.java
@@ -51,14 +51,28 @@
         Balancer(int number) {
             this.number = number;
             String name = "n" + number;
-            site = new Site(engine, name, number % scenario.zones().size(), false, scenario.balancers().eventMicros(),
+            site = new Site(
+                    engine,
+                    name,
+                    number % scenario.zones().size(),
+                    false,
+                    scenario.balancers().eventMicros(),
                     failure -> judge.invariant(name, failure.toString()));
             net.balancer(site, number);
         }
     }
 
-    VirtualFleet(Engine engine, Scenario scenario, VirtualNet net, VirtualPlatform platform, World world, Judge judge,
-            Streams streams, EventLog log, Watcher watcher, Sabotage sabotage) {
+    VirtualFleet(
+            Engine engine,
+            Scenario scenario,
+            VirtualNet net,
+            VirtualPlatform platform,
+            World world,
+            Judge judge,
+            Streams streams,
+            EventLog log,
+            Watcher watcher,
+            Sabotage sabotage) {
         this.sabotage = sabotage;
         this.engine = engine;
         this.scenario = scenario;
@@ -70,7 +84,9 @@
         this.watcher = watcher;
         seeds = streams.of("balancers");
         int count = scenario.balancers().count();
-        net.group(platform.everyone(), IntStream.range(0, count).mapToObj(b -> platform.peer(b, b)).toList());
+        net.group(
+                platform.everyone(),
+                IntStream.range(0, count).mapToObj(b -> platform.peer(b, b)).toList());
         for (int b = 0; b < count; b++) {
             balancers.add(new Balancer(b));
         }
@@ -86,12 +102,19 @@
         b.site.bear();
         world.starts(b.number);
         try {
-            Assembly assembly = new Assembly(Config.parse(json, Map.of()), new Assembly.Surroundings(b.site,
-                    sabotage.dialer(b.site, net.dialer(b.site)),
-                    (to, content) -> net.send(b.site, platform.peer(b.number, b.number), to, content),
-                    millis -> millis * 1000, MOST_VALUE_BYTES, new Counters(),
-                    line -> LOG.atDebug().addKeyValue("instance", b.site.name()).addKeyValue("at_us", engine.elapsed())
-                            .log(line)));
+            Assembly assembly = new Assembly(
+                    Config.parse(json, Map.of()),
+                    new Assembly.Surroundings(
+                            b.site,
+                            sabotage.dialer(b.site, net.dialer(b.site)),
+                            (to, content) -> net.send(b.site, platform.peer(b.number, b.number), to, content),
+                            millis -> millis * 1000,
+                            MOST_VALUE_BYTES,
+                            new Counters(),
+                            line -> LOG.atDebug()
+                                    .addKeyValue("instance", b.site.name())
+                                    .addKeyValue("at_us", engine.elapsed())
+                                    .log(line)));
             b.assembly = assembly;
             b.failuresSeen = 0;
             net.receive(platform.peer(b.number, b.number), b.site, assembly::heard);
@@ -184,12 +207,14 @@
             return;
         }
         Counters counters = b.assembly.counters();
-        long failures = counters.get(Count.DECISION_FAILURES) + counters.get(Count.TASK_FAILURES)
-                + counters.get(Count.OVERDUE);
+        long failures =
+                counters.get(Count.DECISION_FAILURES) + counters.get(Count.TASK_FAILURES) + counters.get(Count.OVERDUE);
         if (failures > b.failuresSeen) {
-            judge.invariant(b.site.name(), "decision failures " + counters.get(Count.DECISION_FAILURES)
-                    + ", task failures " + counters.get(Count.TASK_FAILURES) + ", overdue "
-                    + counters.get(Count.OVERDUE));
+            judge.invariant(
+                    b.site.name(),
+                    "decision failures " + counters.get(Count.DECISION_FAILURES)
+                            + ", task failures " + counters.get(Count.TASK_FAILURES) + ", overdue "
+                            + counters.get(Count.OVERDUE));
             b.failuresSeen = failures;
         }
     }
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualNet.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualNet.java
@@ -42,9 +42,9 @@
     /** From a balancer's word to write until the bytes are with the network, as with a thread of I/O between. */
     private static final long LEAVING_MICROS = 20;
 
-    private record Listener(Site site, Acceptor acceptor) { }
+    private record Listener(Site site, Acceptor acceptor) {}
 
-    private record Mailbox(Site site, BiConsumer<InetSocketAddress, byte[]> received) { }
+    private record Mailbox(Site site, BiConsumer<InetSocketAddress, byte[]> received) {}
 
     private final Engine engine;
     private final Scenario.Net net;
@@ -157,8 +157,9 @@
     }
 
     private long delay(Site from, Site to) {
-        long least = from.client() || to.client() ? net.client() : from.zone() == to.zone() ? net.same()
-                : crossing[from.zone()][to.zone()];
+        long least = from.client() || to.client()
+                ? net.client()
+                : from.zone() == to.zone() ? net.same() : crossing[from.zone()][to.zone()];
         if (net.jitter() == 0) {
             return least;
         }
@@ -191,7 +192,8 @@
         }
         Mailbox box = mailboxes.get(to);
         UniformRandomProvider chance = chance(from);
-        int copies = Draw.chance(chance, Math.max(loss, net.datagramLoss())) ? 0
+        int copies = Draw.chance(chance, Math.max(loss, net.datagramLoss()))
+                ? 0
                 : Draw.chance(chance, net.datagramDouble()) ? 2 : 1;
         if (box == null || isCut(from, box.site)) {
             return;
@@ -287,6 +289,7 @@
         private boolean dialled;
         /** This side has ended it; the other side has; and this side's process has been told so. */
         private boolean closing;
+
         private boolean ended;
         private boolean over;
         private boolean reading = true;
@@ -294,7 +297,7 @@
         private int untold;
         private Ending ending = Ending.OPEN;
 
-        private record Delivery(byte[] bytes, Runnable delivered) { }
+        private record Delivery(byte[] bytes, Runnable delivered) {}
 
         End(Site site, LinkEvents events, long number, InetSocketAddress to) {
             this.site = site;
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualPlatform.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualPlatform.java
@@ -30,9 +30,11 @@
     }
 
     private Site site(String name, int zone) {
-        return sites.computeIfAbsent(name, n -> new Site(engine, n, zone, n.startsWith("clients-"), 0, failure -> {
-            throw new IllegalStateException("the emulator's own " + n + " failed", failure);
-        }));
+        return sites.computeIfAbsent(
+                name,
+                n -> new Site(engine, n, zone, n.startsWith("clients-"), 0, failure -> {
+                    throw new IllegalStateException("the emulator's own " + n + " failed", failure);
+                }));
     }
 
     private InetSocketAddress numbered(int group, int number, int port) {
@@ -72,7 +74,10 @@
 
     @Override
     public Dialer clients(int zone) {
-        return net.dialer(sites.values().stream().filter(s -> s.client() && s.zone() == zone).findFirst().orElseThrow());
+        return net.dialer(sites.values().stream()
+                .filter(s -> s.client() && s.zone() == zone)
+                .findFirst()
+                .orElseThrow());
     }
 
     @Override
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualRouter.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualRouter.java
@@ -10,7 +10,7 @@
 
     private static final long STEP_MICROS = 1_000_000;
 
-    private VirtualRouter() { }
+    private VirtualRouter() {}
 
     public static RouterLoad play(Scenario scenario, long seed, double load) {
         Engine engine = new Engine();
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualRun.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualRun.java
@@ -31,14 +31,15 @@
      * @param grid      microseconds at whose multiples events fall due, 1 for none
      * @param shuffle   seed of the order of events that are due at once, 0 for that in which they were scheduled
      */
-    public record Options(long seed, OutputStream log, boolean keepGoing, LongConsumer progress, long grid, long shuffle) {
+    public record Options(
+            long seed, OutputStream log, boolean keepGoing, LongConsumer progress, long grid, long shuffle) {
 
         public Options(long seed, OutputStream log, boolean keepGoing, LongConsumer progress) {
             this(seed, log, keepGoing, progress, 1, 0);
         }
 
         public static Options seed(long seed) {
-            return new Options(seed, null, false, micros -> { });
+            return new Options(seed, null, false, micros -> {});
         }
     }
 
@@ -50,20 +51,37 @@
      * @param virtual     microseconds played
      * @param events      of the engine, performed
      */
-    public record Result(Scenario scenario, long seed, String fingerprint, long lines, Tally tally, List<Broken> broken,
-            Map<Rule, Integer> counts, long virtual, long events, long wallNanos) {
+    public record Result(
+            Scenario scenario,
+            long seed,
+            String fingerprint,
+            long lines,
+            Tally tally,
+            List<Broken> broken,
+            Map<Rule, Integer> counts,
+            long virtual,
+            long events,
+            long wallNanos) {
 
         public boolean kept() {
             return broken.isEmpty();
         }
 
         public Summary summary() {
-            return new Summary(scenario.name(), "virtual", seed, fingerprint, virtual / 1e6, wallNanos / 1e9, events,
-                    tally, counts);
+            return new Summary(
+                    scenario.name(),
+                    "virtual",
+                    seed,
+                    fingerprint,
+                    virtual / 1e6,
+                    wallNanos / 1e9,
+                    events,
+                    tally,
+                    counts);
         }
     }
 
-    private VirtualRun() { }
+    private VirtualRun() {}
 
     public static Result play(Scenario scenario, Options options) {
         return play(scenario, options, Sabotage.NONE);
@@ -87,10 +105,15 @@
         Tally tally = new Tally();
         VirtualNet net = new VirtualNet(engine, scenario, streams, log);
         VirtualPlatform platform = new VirtualPlatform(engine, net);
-        World world = new World(scenario, platform, streams, judge, tally,
+        World world = new World(
+                scenario,
+                platform,
+                streams,
+                judge,
+                tally,
                 (what, whom) -> log.line("act", what, whom.isEmpty() ? "-" : whom, 0, 0));
-        VirtualFleet fleet = new VirtualFleet(engine, scenario, net, platform, world, judge, streams, log,
-                world.clients(), sabotage);
+        VirtualFleet fleet = new VirtualFleet(
+                engine, scenario, net, platform, world, judge, streams, log, world.clients(), sabotage);
         net.tap(new RelayTap(judge, to -> world.hostAt(platform.place(to)), net::number));
         world.open(fleet);
         fleet.startAll();
@@ -112,7 +135,16 @@
                 break;
             }
         }
-        return new Result(scenario, options.seed(), log.fingerprint(), log.lines(), tally, broken, judge.counts(),
-                engine.elapsed(), engine.performed(), System.nanoTime() - began);
+        return new Result(
+                scenario,
+                options.seed(),
+                log.fingerprint(),
+                log.lines(),
+                tally,
+                broken,
+                judge.counts(),
+                engine.elapsed(),
+                engine.performed(),
+                System.nanoTime() - began);
     }
 }
--- a/emulator/src/main/java/baymoor/emulator/world/Agent.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Agent.java
@@ -43,6 +43,7 @@
     private final Map<String, Entry> held = new LinkedHashMap<>();
     /** What changed, by the version at which it came here. */
     private final TreeMap<Long, List<Entry>> changes = new TreeMap<>();
+
     private final Set<Connection> watches = new LinkedHashSet<>();
     private final List<Runnable> waiting = new ArrayList<>();
     private long index;
@@ -86,7 +87,8 @@
         List<Entry> changed = new ArrayList<>();
         Map<String, Entry> now = new LinkedHashMap<>();
         source.listed().forEach(e -> now.put(e.name(), e));
-        held.values().stream().filter(e -> !now.containsKey(e.name()))
+        held.values().stream()
+                .filter(e -> !now.containsKey(e.name()))
                 .forEach(e -> changed.add(e.with(Listing.Status.TERMINATED)));
         now.values().stream().filter(e -> !e.equals(held.get(e.name()))).forEach(changed::add);
         held.clear();
@@ -136,13 +138,15 @@
                 return;
             }
             if (!target.contains("watch=1")) {
-                link.write(HttpRequests.response(200, "OK", "Content-Type: application/json\r\n",
-                        source.line(index, true, held())));
+                link.write(HttpRequests.response(
+                        200, "OK", "Content-Type: application/json\r\n", source.line(index, true, held())));
                 return;
             }
             long from = ListStream.from(target);
             boolean known = from >= 1 && from <= index && (changes.isEmpty() || from >= changes.firstKey());
-            List<Entry> since = changes.tailMap(from, false).values().stream().flatMap(List::stream).toList();
+            List<Entry> since = changes.tailMap(from, false).values().stream()
+                    .flatMap(List::stream)
+                    .toList();
             stream = new ListStream(link, time, () -> !over, source::up);
             watches.add(this);
             stream.open(source.line(index, !known, known ? since : held()));
--- a/emulator/src/main/java/baymoor/emulator/world/Catalogue.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Catalogue.java
@@ -26,7 +26,7 @@
     }
 
     /** What a key is, as one who has the origin's data would know it. */
-    public record Thing(long size, double workShare) { }
+    public record Thing(long size, double workShare) {}
 
     private UniformRandomProvider of(long key) {
         return RandomSource.SPLIT_MIX_64.create(key ^ seed);
@@ -51,7 +51,8 @@
 
     /** Work of a request in microseconds of a core of speed 1. */
     public double work(RequestClass kind, Thing thing) {
-        return kind.work().least() + thing.workShare() * (kind.work().most() - kind.work().least());
+        return kind.work().least()
+                + thing.workShare() * (kind.work().most() - kind.work().least());
     }
 
     public static String name(long key) {
--- a/emulator/src/main/java/baymoor/emulator/world/Clients.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Clients.java
@@ -48,6 +48,7 @@
     private final boolean[] ending;
     /** Clock times from which requests are counted, and after which none is asked. */
     private long countFrom;
+
     private long endAt;
     private double surge = 1;
     private double scan;
@@ -55,16 +56,18 @@
     private long hotKey;
     private long open;
 
-    public Clients(Scenario scenario, Platform platform, Streams streams, Catalogue catalogue, Judge judge,
-            Tally tally) {
+    public Clients(
+            Scenario scenario, Platform platform, Streams streams, Catalogue catalogue, Judge judge, Tally tally) {
         this.scenario = scenario;
         this.platform = platform;
         this.catalogue = catalogue;
         this.judge = judge;
         this.tally = tally;
         slack = scenario.figures().answerSlackMicros() + Math.max(10_000, platform.slackMicros());
-        classShares = scenario.classes().stream().mapToDouble(RequestClass::share).toArray();
-        tenantShares = scenario.tenants().stream().mapToDouble(Scenario.Tenant::share).toArray();
+        classShares =
+                scenario.classes().stream().mapToDouble(RequestClass::share).toArray();
+        tenantShares =
+                scenario.tenants().stream().mapToDouble(Scenario.Tenant::share).toArray();
         int count = scenario.balancers().count();
         seen = new boolean[count];
         lives = new int[count];
@@ -157,7 +160,8 @@
             String name = "clients-" + scenario.zones().get(number);
             time = platform.time(name, number);
             chance = streams.of(name);
-            ranks = RejectionInversionZipfSampler.of(chance, scenario.keys().count(), scenario.keys().exponent());
+            ranks = RejectionInversionZipfSampler.of(
+                    chance, scenario.keys().count(), scenario.keys().exponent());
             dialer = platform.clients(number);
             near = near(number, scenario.zones().size(), seen.length);
             for (int b = 0; b < seen.length; b++) {
@@ -216,8 +220,8 @@
             kind = scenario.classes().get(pick(zone.chance, classShares));
             tenant = scenario.tenants().get(pick(zone.chance, tenantShares)).name();
             boolean once = !kind.write() && Draw.chance(zone.chance, scan);
-            long usual = once ? zone.chance.nextLong()
-                    : catalogue.key(zone.ranks.sample() - 1, zone.time.now() - countFrom);
+            long usual =
+                    once ? zone.chance.nextLong() : catalogue.key(zone.ranks.sample() - 1, zone.time.now() - countFrom);
             key = hot > 0 && Draw.chance(zone.chance, hot) ? hotKey : usual;
             thing = catalogue.thing(key);
             idempotency = kind.effect() == Effect.KEYED ? Catalogue.name(zone.chance.nextLong()) : null;
@@ -305,8 +309,12 @@
         byte[] command() {
             RequestClass kind = request.kind;
             long waits = Math.max(1, (gone - zone.time.now()) / 1000);
-            StringBuilder facts = new StringBuilder("c=").append(kind.name()).append(",t=").append(request.tenant)
-                    .append(",d=").append(waits);
+            StringBuilder facts = new StringBuilder("c=")
+                    .append(kind.name())
+                    .append(",t=")
+                    .append(request.tenant)
+                    .append(",d=")
+                    .append(waits);
             if (request.idempotency != null) {
                 facts.append(",k=").append(request.idempotency);
             }
@@ -321,8 +329,13 @@
             }
             byte[] key = RespWriter.ascii(Catalogue.name(request.key));
             byte[] list = RespWriter.ascii(facts.toString());
-            return kind.write() ? RespWriter.command(RespWriter.ascii("OBJ.SET"), key, RespWriter.ascii(id), list,
-                    Values.value(Catalogue.name(request.key), id, request.thing.size()))
+            return kind.write()
+                    ? RespWriter.command(
+                            RespWriter.ascii("OBJ.SET"),
+                            key,
+                            RespWriter.ascii(id),
+                            list,
+                            Values.value(Catalogue.name(request.key), id, request.thing.size()))
                     : RespWriter.command(RespWriter.ascii("OBJ.GET"), key, RespWriter.ascii(id), list);
         }
 
@@ -387,13 +400,16 @@
         /** The connection ended under it. */
         void dropped(Link link, boolean kept) {
             Tracked.Ending how = link instanceof Tracked t ? t.ending() : null;
-            boolean balancers = how == null || how == Tracked.Ending.BY_OTHER_SIDE
-                    || how == Tracked.Ending.OTHER_SIDE_DIED;
-            // Where the network doesn't tell, what ends so soon after the request has crossed it. Seen: at a planned restart
+            boolean balancers =
+                    how == null || how == Tracked.Ending.BY_OTHER_SIDE || how == Tracked.Ending.OTHER_SIDE_DIED;
+            // Where the network doesn't tell, what ends so soon after the request has crossed it. Seen: at a planned
+            // restart
             // the balancer closes what rests, has never seen the request, and was blamed for it.
-            boolean crossed = how == null ? zone.time.now() - wroteMicros <= platform.slackMicros()
+            boolean crossed = how == null
+                    ? zone.time.now() - wroteMicros <= platform.slackMicros()
                     : !taken && how == Tracked.Ending.BY_OTHER_SIDE;
-            // Nor does the network tell whether it ran. Seen: a killed balancer had sent an unsafe one on, and it ran twice.
+            // Nor does the network tell whether it ran. Seen: a killed balancer had sent an unsafe one on, and it ran
+            // twice.
             boolean harmless = how != null || request.kind.effect() != Effect.UNSAFE;
             if (kept && !resent && crossed && harmless && zone.time.now() < gone) {
                 resent = true; // it crossed the end of an idle connection: once more on a new one
--- a/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
+++ b/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
@@ -31,6 +31,7 @@
     private static final int MOST_HISTORY = 1000;
     /** What a watch that has fallen silent misses counts as told so long after it fell silent. */
     private static final long SILENT_MICROS = 6_000_000;
+
     private static final byte[] NONE = new byte[0];
 
     /** The address of a host as one balancer reaches it, and the Unix time of a moment of the world's clock. */
@@ -48,6 +49,7 @@
     private final IntToLongFunction cutSince;
     /** What is listed, and the last change of each name by its version, those that ended among them. */
     private final Map<String, Entry> listed = new LinkedHashMap<>();
+
     private final TreeMap<Long, Entry> history = new TreeMap<>();
     private final Map<String, Long> changedLast = new LinkedHashMap<>();
     private final Set<Watch> watches = new LinkedHashSet<>();
@@ -56,6 +58,7 @@
     private final Map<Integer, Agent> agents = new LinkedHashMap<>();
     /** Number of the newest change of each name that is listed. */
     private final Map<String, Long> shown = new LinkedHashMap<>();
+
     private long changes;
     private long index = 1;
     private long busyUntil;
@@ -63,7 +66,12 @@
     private boolean up = true;
 
     /** @param cutSince since when a balancer is cut off from the service, -1 if it is not */
-    DiscoveryService(Scenario.Discovery spec, Time time, UniformRandomProvider chance, Judge judge, Reach reach,
+    DiscoveryService(
+            Scenario.Discovery spec,
+            Time time,
+            UniformRandomProvider chance,
+            Judge judge,
+            Reach reach,
             IntToLongFunction cutSince) {
         this.cutSince = cutSince;
         this.spec = spec;
@@ -74,7 +82,11 @@
     }
 
     /** How discovery came to know of a change. */
-    enum Sign { ENDED, SILENT, ADDED }
+    enum Sign {
+        ENDED,
+        SILENT,
+        ADDED
+    }
 
     /** Lists a process from the start of the run on. */
     void begin(Entry entry) {
@@ -83,11 +95,13 @@
 
     /** Something has changed; the list shows it once discovery has noticed. */
     void changed(Entry entry, Sign sign) {
-        long after = Draw.within(chance, switch (sign) {
-            case ENDED -> spec.notice();
-            case SILENT -> spec.silent();
-            case ADDED -> spec.add();
-        });
+        long after = Draw.within(
+                chance,
+                switch (sign) {
+                    case ENDED -> spec.notice();
+                    case SILENT -> spec.silent();
+                    case ADDED -> spec.add();
+                });
         long number = ++changes;
         time.after(after, () -> {
             // What was noticed late may have been overtaken by what came after it.
@@ -149,37 +163,41 @@
 
     /** An agent beside a balancer, to which changes are pushed; it hears nothing while {@code reached} says so. */
     Agent agent(int balancer, BooleanSupplier reached) {
-        return agents.computeIfAbsent(balancer, b -> new Agent(new Agent.Source() {
-            @Override
-            public boolean up() {
-                return up && reached.getAsBoolean();
-            }
-
-            @Override
-            public long index() {
-                return index;
-            }
-
-            @Override
-            public Collection<Entry> listed() {
-                return DiscoveryService.this.listed();
-            }
-
-            @Override
-            public long delayMicros() {
-                return Draw.within(chance, spec.spread());
-            }
-
-            @Override
-            public byte[] line(long at, boolean snapshot, Collection<Entry> entries) {
-                return DiscoveryService.this.line(at, snapshot, entries, balancer);
-            }
-
-            @Override
-            public void told(Collection<Entry> entries) {
-                DiscoveryService.this.told(balancer, entries);
-            }
-        }, time));
+        return agents.computeIfAbsent(
+                balancer,
+                b -> new Agent(
+                        new Agent.Source() {
+                            @Override
+                            public boolean up() {
+                                return up && reached.getAsBoolean();
+                            }
+
+                            @Override
+                            public long index() {
+                                return index;
+                            }
+
+                            @Override
+                            public Collection<Entry> listed() {
+                                return DiscoveryService.this.listed();
+                            }
+
+                            @Override
+                            public long delayMicros() {
+                                return Draw.within(chance, spec.spread());
+                            }
+
+                            @Override
+                            public byte[] line(long at, boolean snapshot, Collection<Entry> entries) {
+                                return DiscoveryService.this.line(at, snapshot, entries, balancer);
+                            }
+
+                            @Override
+                            public void told(Collection<Entry> entries) {
+                                DiscoveryService.this.told(balancer, entries);
+                            }
+                        },
+                        time));
     }
 
     /** Sends all agents what they have not heard yet; those that can't be reached go without. */
@@ -225,11 +243,15 @@
             told(balancer, entries);
         } else {
             // Seen: what was written into a connection that a cut had silenced counted as told, and the rule broke.
-            time.after(Math.max(0, since + SILENT_MICROS - time.now()), () -> told(balancer,
-                    entries.stream().map(e -> listed.getOrDefault(e.name(), e)).toList()));
+            time.after(
+                    Math.max(0, since + SILENT_MICROS - time.now()),
+                    () -> told(
+                            balancer,
+                            entries.stream()
+                                    .map(e -> listed.getOrDefault(e.name(), e))
+                                    .toList()));
         }
-        return (Listing.object(at, snapshot, entries, host -> reach.address(host, balancer),
-                reach::unixMillis) + "\n")
+        return (Listing.object(at, snapshot, entries, host -> reach.address(host, balancer), reach::unixMillis) + "\n")
                 .getBytes(StandardCharsets.UTF_8);
     }
 
--- a/emulator/src/main/java/baymoor/emulator/world/Facts.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Facts.java
@@ -3,7 +3,7 @@
 /** The list of names and values that a request carries, as a stand-in needs it: one value by its name. */
 final class Facts {
 
-    private Facts() { }
+    private Facts() {}
 
     /** The value behind a name, or null. */
     static String get(String list, String name) {
--- a/emulator/src/main/java/baymoor/emulator/world/Fills.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Fills.java
@@ -17,7 +17,7 @@
     private static final long KEEP_MICROS = 10_000_000;
     private static final int MOST_STORED = 2;
 
-    private record Miss(String id, long at, List<Router> routers, boolean[] cold) { }
+    private record Miss(String id, long at, List<Router> routers, boolean[] cold) {}
 
     private final Time time;
     private final long delayMicros;
@@ -83,8 +83,7 @@
     void fetched(String id, String key, long size) {
         Miss miss = misses.remove(id);
         if (miss != null) {
-            miss.routers.stream().limit(MOST_STORED)
-                    .forEach(r -> time.after(delayMicros, () -> r.store(key, size)));
+            miss.routers.stream().limit(MOST_STORED).forEach(r -> time.after(delayMicros, () -> r.store(key, size)));
         }
     }
 
--- a/emulator/src/main/java/baymoor/emulator/world/Fleet.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Fleet.java
@@ -8,7 +8,7 @@
         void ready(int balancer);
 
         /** It was told to end (SIGTERM), and from then on closes its listener and its connections. */
-        default void ending(int balancer) { }
+        default void ending(int balancer) {}
 
         void ended(int balancer);
     }
--- a/emulator/src/main/java/baymoor/emulator/world/HttpRequests.java
+++ b/emulator/src/main/java/baymoor/emulator/world/HttpRequests.java
@@ -14,7 +14,7 @@
 final class HttpRequests {
 
     /** A request: its method, its target as sent, headers by their names in small letters, and its body. */
-    record Request(String method, String target, Map<String, String> headers, byte[] body) { }
+    record Request(String method, String target, Map<String, String> headers, byte[] body) {}
 
     private static final int LONGEST_LINE = 8192;
     private static final int MOST_HEADERS = 100;
@@ -90,14 +90,17 @@
             if (colon <= 0 || headers.size() >= MOST_HEADERS) {
                 throw new HttpException("malformed header");
             }
-            headers.put(text.substring(0, colon).toLowerCase(Locale.ROOT), text.substring(colon + 1).strip());
+            headers.put(
+                    text.substring(0, colon).toLowerCase(Locale.ROOT),
+                    text.substring(colon + 1).strip());
         }
     }
 
     /** A response with a stated length. {@code extra}: further header lines, each with its line end. */
     static byte[] response(int status, String reason, String extra, byte[] body) {
         byte[] head = ("HTTP/1.1 " + status + " " + reason + "\r\nContent-Length: " + body.length + "\r\n" + extra
-                + "\r\n").getBytes(StandardCharsets.US_ASCII);
+                        + "\r\n")
+                .getBytes(StandardCharsets.US_ASCII);
         byte[] all = new byte[head.length + body.length];
         System.arraycopy(head, 0, all, 0, head.length);
         System.arraycopy(body, 0, all, head.length, body.length);
--- a/emulator/src/main/java/baymoor/emulator/world/Listing.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Listing.java
@@ -14,13 +14,24 @@
     static final ObjectMapper JSON = new ObjectMapper();
 
     /** What a listed process does. */
-    public enum Status { IN_SERVICE, TERMINATING, TERMINATED }
+    public enum Status {
+        IN_SERVICE,
+        TERMINATING,
+        TERMINATED
+    }
 
     /**
      * A listed process; {@code host} is its number in the world, by which its address is found.
      * {@code sinceMicros}: when it last started, 0 for long ago.
      */
-    public record Entry(String name, int host, String zone, String type, int group, Status status, double weight,
+    public record Entry(
+            String name,
+            int host,
+            String zone,
+            String type,
+            int group,
+            Status status,
+            double weight,
             long sinceMicros) {
 
         Entry with(Status now) {
@@ -28,22 +39,31 @@
         }
     }
 
-    private Listing() { }
+    private Listing() {}
 
     /**
      * @param address    of a host by its number, as one balancer reaches it
      * @param unixMillis of a moment of the world's clock
      */
-    public static ObjectNode object(long index, boolean snapshot, Collection<Entry> entries,
-            IntFunction<InetSocketAddress> address, LongUnaryOperator unixMillis) {
+    public static ObjectNode object(
+            long index,
+            boolean snapshot,
+            Collection<Entry> entries,
+            IntFunction<InetSocketAddress> address,
+            LongUnaryOperator unixMillis) {
         ObjectNode object = JSON.createObjectNode().put("index", index).put("snapshot", snapshot);
         ArrayNode endpoints = object.putArray("endpoints");
         for (Entry e : entries) {
             InetSocketAddress at = address.apply(e.host);
-            endpoints.addObject().put("name", e.name)
-                    .put("address", at.getAddress().getHostAddress() + ":" + at.getPort()).put("zone", e.zone)
-                    .put("type", e.type).put("group", e.group)
-                    .put("status", e.status.name().toLowerCase(java.util.Locale.ROOT)).put("weight", e.weight)
+            endpoints
+                    .addObject()
+                    .put("name", e.name)
+                    .put("address", at.getAddress().getHostAddress() + ":" + at.getPort())
+                    .put("zone", e.zone)
+                    .put("type", e.type)
+                    .put("group", e.group)
+                    .put("status", e.status.name().toLowerCase(java.util.Locale.ROOT))
+                    .put("weight", e.weight)
                     .put("since_ms", e.sinceMicros == 0 ? 0 : unixMillis.applyAsLong(e.sinceMicros));
         }
         return object;
--- a/emulator/src/main/java/baymoor/emulator/world/LoadGauge.java
+++ b/emulator/src/main/java/baymoor/emulator/world/LoadGauge.java
@@ -8,6 +8,7 @@
 
     /** What is reported, in the words of the settings. */
     static final List<String> NAMES = List.of("outstanding", "backlog", "utilization");
+
     private static final long REFRESH_MICROS = 100_000;
 
     private final int slots;
@@ -22,8 +23,12 @@
     String read(long now, Station station) {
         if (now - readAt >= REFRESH_MICROS) {
             readAt = now;
-            text = String.format(Locale.ROOT, "outstanding=%d,backlog=%d,utilization=%.2f", station.inWork(),
-                    station.waiting(), Math.min(1, (double) station.inWork() / slots));
+            text = String.format(
+                    Locale.ROOT,
+                    "outstanding=%d,backlog=%d,utilization=%.2f",
+                    station.inWork(),
+                    station.waiting(),
+                    Math.min(1, (double) station.inWork() / slots));
         }
         return text;
     }
--- a/emulator/src/main/java/baymoor/emulator/world/ObjectCache.java
+++ b/emulator/src/main/java/baymoor/emulator/world/ObjectCache.java
@@ -13,7 +13,7 @@
  */
 final class ObjectCache {
 
-    private record Kept(long bytes, long until) { }
+    private record Kept(long bytes, long until) {}
 
     private final long most;
     private final long ttl;
--- a/emulator/src/main/java/baymoor/emulator/world/Origin.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Origin.java
@@ -29,7 +29,7 @@
     private static final byte[] NONE = new byte[0];
     private static final String UNTOUCHED = "X-Unprocessed: 1\r\n";
 
-    private record Arrival(long at, boolean cold) { }
+    private record Arrival(long at, boolean cold) {}
 
     private final Scenario.Origin spec;
     private final Time time;
@@ -56,8 +56,17 @@
      * @param coldDue share of all reads that is due to routers that are cold, by weights cut by the stated warm-up
      * @param fell    hears that it stops; whoever listens for it closes, and starts it again later
      */
-    Origin(Scenario scenario, Time time, UniformRandomProvider chance, Catalogue catalogue, Fills fills, Judge judge,
-            Arrivals arrivals, Tally tally, DoubleSupplier coldDue, Runnable fell) {
+    Origin(
+            Scenario scenario,
+            Time time,
+            UniformRandomProvider chance,
+            Catalogue catalogue,
+            Fills fills,
+            Judge judge,
+            Arrivals arrivals,
+            Tally tally,
+            DoubleSupplier coldDue,
+            Runnable fell) {
         spec = scenario.origin();
         this.time = time;
         this.chance = chance;
@@ -174,7 +183,8 @@
         private void request(HttpRequests.Request r) {
             String id = r.headers().get("x-correlation-id");
             String facts = r.headers().getOrDefault("x-facts", "");
-            if (r.method().equals("GET") && (r.target().equals("/healthz") || r.target().equals("/load"))) {
+            if (r.method().equals("GET")
+                    && (r.target().equals("/healthz") || r.target().equals("/load"))) {
                 tally.probed();
                 answer(200, "OK", "", NONE);
                 return;
--- a/emulator/src/main/java/baymoor/emulator/world/Router.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Router.java
@@ -41,14 +41,19 @@
     private static final int NOISE = 48;
     /** Of the budget before a cold router falls over: chance alone must not do it. */
     private static final double CHANCE_SLACK = 1.1;
+
     private static final byte[] BUSY = RespWriter.error("BUSY");
     private static final byte[] FAILED = RespWriter.error("ERR failed");
     private static final byte[] NOTHING = RespWriter.ascii("$-1\r\n");
 
     /** What a router is at present. */
-    public enum State { UP, DRAINING, DOWN }
+    public enum State {
+        UP,
+        DRAINING,
+        DOWN
+    }
 
-    private record Pressure(long at, double work, boolean told) { }
+    private record Pressure(long at, double work, boolean told) {}
 
     private final String name;
     private final int zone;
@@ -84,8 +89,19 @@
     private double spoilShare;
 
     /** @param fell hears that it fell over under too much work while cold */
-    Router(String name, int zone, RouterKind kind, Scenario.Figures figures, Time time, UniformRandomProvider chance,
-            Catalogue catalogue, Fills fills, Judge judge, Arrivals arrivals, Tally tally, Consumer<Router> fell) {
+    Router(
+            String name,
+            int zone,
+            RouterKind kind,
+            Scenario.Figures figures,
+            Time time,
+            UniformRandomProvider chance,
+            Catalogue catalogue,
+            Fills fills,
+            Judge judge,
+            Arrivals arrivals,
+            Tally tally,
+            Consumer<Router> fell) {
         this.arrivals = arrivals;
         this.name = name;
         this.zone = zone;
@@ -99,8 +115,14 @@
         this.tally = tally;
         this.fell = fell;
         speed = kind.speed() * Math.max(0.2, 1 + kind.speedSpread() * Draw.normal(chance));
-        station = new Station(time, kind.cores(), kind.slots() * kind.cores(), kind.room() * kind.cores(), speed,
-                kind.thrash(), kind.crowd());
+        station = new Station(
+                time,
+                kind.cores(),
+                kind.slots() * kind.cores(),
+                kind.room() * kind.cores(),
+                speed,
+                kind.thrash(),
+                kind.crowd());
         gauge = new LoadGauge(kind.slots() * kind.cores());
         cache = new ObjectCache(kind.memory(), kind.ttlMicros());
     }
@@ -359,7 +381,8 @@
             reader.feed(bytes);
             try {
                 for (Resp command = reader.next(); command != null && born == life; command = reader.next()) {
-                    take(((Resp.Many) command).items().stream().map(w -> ((Resp.Bulk) w).bytes()).toList());
+                    take(((Resp.Many) command)
+                            .items().stream().map(w -> ((Resp.Bulk) w).bytes()).toList());
                 }
             } catch (RespException e) {
                 link.close(); // what can't be read can't be answered
@@ -385,8 +408,11 @@
                 case "INFO" -> {
                     boolean told = figures.reports() != Scenario.Reports.OFF;
                     tally.probed();
-                    answer(due, told ? RespWriter.bulk(RespWriter.ascii(gauge.read(time.now(), station)))
-                            : RespWriter.error("NOPERM"));
+                    answer(
+                            due,
+                            told
+                                    ? RespWriter.bulk(RespWriter.ascii(gauge.read(time.now(), station)))
+                                    : RespWriter.error("NOPERM"));
                 }
                 case "OBJ.GET", "OBJ.SET" -> answer(due, RespWriter.error("SYNTAX"));
                 default -> answer(due, RespWriter.error("ERR unknown command"));
@@ -480,7 +506,7 @@
                     judge.hostAnswered(due.id, name, false);
                     link.write(FAILED);
                 }
-                case SILENT -> { }
+                case SILENT -> {}
             }
         }
 
@@ -504,7 +530,14 @@
         private final long until;
         private boolean hit;
 
-        Work(Connection from, Due due, String key, String id, Catalogue.Thing thing, boolean read, double work,
+        Work(
+                Connection from,
+                Due due,
+                String key,
+                String id,
+                Catalogue.Thing thing,
+                boolean read,
+                double work,
                 long until) {
             this.from = from;
             this.due = due;
@@ -519,8 +552,8 @@
         @Override
         public double begin() {
             boolean expired = time.now() > until;
-            if (expired && (kind.expired() == Expired.DROP
-                    || kind.expired() == Expired.EITHER && chance.nextBoolean())) {
+            if (expired
+                    && (kind.expired() == Expired.DROP || kind.expired() == Expired.EITHER && chance.nextBoolean())) {
                 from.turnAway(due);
                 return -1;
             }
@@ -571,14 +604,16 @@
             out.writeBytes(RespWriter.ascii("*3\r\n"));
             out.writeBytes(value);
             out.writeBytes(RespWriter.bulk(RespWriter.ascii(how)));
-            out.writeBytes(figures.reports() == Scenario.Reports.INLINE
-                    ? RespWriter.bulk(RespWriter.ascii(gauge.read(time.now(), station))) : NOTHING);
+            out.writeBytes(
+                    figures.reports() == Scenario.Reports.INLINE
+                            ? RespWriter.bulk(RespWriter.ascii(gauge.read(time.now(), station)))
+                            : NOTHING);
             return out.toByteArray();
         }
     }
 
     /** An object that was popular before the run. */
-    record Popular(String key, long size) { }
+    record Popular(String key, long size) {}
 
     /** Fills its cache with what was popular before the run, the most popular first in the list. */
     void prefill(List<Popular> popular) {
--- a/emulator/src/main/java/baymoor/emulator/world/RouterLoad.java
+++ b/emulator/src/main/java/baymoor/emulator/world/RouterLoad.java
@@ -56,10 +56,21 @@
         catalogue = new Catalogue(scenario, scenario.seed());
         chance = streams.of("load");
         Time routersTime = platform.time("s-0", 0);
-        Fills fills = new Fills(routersTime, 0, 0, key -> { });
-        Judge judge = new Judge(time::now, scenario.figures(), 0, b -> { });
-        router = new Router("s-0", 0, scenario.routers().get(0), scenario.figures(), routersTime, streams.of("s-0"),
-                catalogue, fills, judge, new Arrivals(judge, false), new Tally(), r -> { });
+        Fills fills = new Fills(routersTime, 0, 0, key -> {});
+        Judge judge = new Judge(time::now, scenario.figures(), 0, b -> {});
+        router = new Router(
+                "s-0",
+                0,
+                scenario.routers().get(0),
+                scenario.figures(),
+                routersTime,
+                streams.of("s-0"),
+                catalogue,
+                fills,
+                judge,
+                new Arrivals(judge, false),
+                new Tally(),
+                r -> {});
         RequestClass kind = scenario.classes().get(0);
         double work = 0;
         for (int rank = 0; rank < KEYS; rank++) {
@@ -71,8 +82,11 @@
     /** Starts; on the thread of the platform's time. */
     public void begin() {
         router.start(0);
-        router.prefill(IntStream.range(0, KEYS).mapToLong(r -> catalogue.key(r, 0))
-                .mapToObj(k -> new Router.Popular(Catalogue.name(k), catalogue.thing(k).size())).toList());
+        router.prefill(IntStream.range(0, KEYS)
+                .mapToLong(r -> catalogue.key(r, 0))
+                .mapToObj(k ->
+                        new Router.Popular(Catalogue.name(k), catalogue.thing(k).size()))
+                .toList());
         platform.listen(0, "s-0", 0, router::accept);
         from = time.now() + scenario.durationMicros() / WARM_UP_PART;
         until = time.now() + scenario.durationMicros();
@@ -125,9 +139,11 @@
         void ask(long key, String id) {
             asked = due;
             RequestClass kind = scenario.classes().get(0);
-            command = RespWriter.command(RespWriter.ascii("OBJ.GET"), RespWriter.ascii(Catalogue.name(key)),
-                    RespWriter.ascii(id), RespWriter.ascii("c=" + kind.name() + ",t=load,d="
-                            + kind.giveUpMicros() / 1000));
+            command = RespWriter.command(
+                    RespWriter.ascii("OBJ.GET"),
+                    RespWriter.ascii(Catalogue.name(key)),
+                    RespWriter.ascii(id),
+                    RespWriter.ascii("c=" + kind.name() + ",t=load,d=" + kind.giveUpMicros() / 1000));
             if (link == null) {
                 link = platform.clients(0).dial(platform.address(0, 0), this);
             } else {
--- a/emulator/src/main/java/baymoor/emulator/world/Tracked.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Tracked.java
@@ -12,5 +12,12 @@
     Ending ending();
 
     /** Who ended a connection. */
-    enum Ending { OPEN, BY_THIS_SIDE, BY_OTHER_SIDE, OTHER_SIDE_DIED, REFUSED, CUT }
+    enum Ending {
+        OPEN,
+        BY_THIS_SIDE,
+        BY_OTHER_SIDE,
+        OTHER_SIDE_DIED,
+        REFUSED,
+        CUT
+    }
 }
--- a/emulator/src/main/java/baymoor/emulator/world/Values.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Values.java
@@ -6,7 +6,7 @@
 /** The values that stand-ins make: each names the request that it was made for, so that a mix-up shows. */
 final class Values {
 
-    private Values() { }
+    private Values() {}
 
     static byte[] value(String key, String id, long size) {
         byte[] head = ("v " + key + " " + id + " ").getBytes(StandardCharsets.US_ASCII);
--- a/emulator/src/main/java/baymoor/emulator/world/World.java
+++ b/emulator/src/main/java/baymoor/emulator/world/World.java
@@ -47,6 +47,7 @@
     private final Clients clients;
     /** When each zone was cut off, -1 while it is not. */
     private final long[] cutSince;
+
     private long start;
     private Fleet fleet;
     private int replacements;
@@ -63,7 +64,12 @@
     }
 
     /** @param said hears what the script does: the act, and to whom */
-    public World(Scenario scenario, Platform platform, Streams streams, Judge judge, Tally tally,
+    public World(
+            Scenario scenario,
+            Platform platform,
+            Streams streams,
+            Judge judge,
+            Tally tally,
             BiConsumer<String, String> said) {
         this.scenario = scenario;
         this.platform = platform;
@@ -74,29 +80,58 @@
         time = platform.time("world", 0);
         chance = streams.of("script");
         catalogue = new Catalogue(scenario, scenario.seed());
-        fills = new Fills(time, scenario.net().cross().middle(), scenario.origin().fallMicros(),
+        fills = new Fills(
+                time,
+                scenario.net().cross().middle(),
+                scenario.origin().fallMicros(),
                 key -> slots.forEach(s -> s.router.voided(key)));
         arrivals = new Arrivals(judge, platform.hostsTell());
         int place = 0;
         for (RouterKind kind : scenario.routers()) {
             for (int i = 0; i < kind.count(); i++) {
                 Slot slot = new Slot(place++);
-                slot.router = router("s-" + slot.place, slot.place % scenario.zones().size(), kind);
+                slot.router =
+                        router("s-" + slot.place, slot.place % scenario.zones().size(), kind);
                 slots.add(slot);
             }
         }
-        origin = new Origin(scenario, platform.time(Origin.NAME, 0), streams.of(Origin.NAME), catalogue, fills, judge,
-                arrivals, tally, this::coldDue, this::originFell);
-        discovery = new DiscoveryService(scenario.discovery(), platform.time("discovery", 0), streams.of("discovery"),
-                judge, platform, b -> scenario.discovery().pushed() ? -1 : cutOff(b));
+        origin = new Origin(
+                scenario,
+                platform.time(Origin.NAME, 0),
+                streams.of(Origin.NAME),
+                catalogue,
+                fills,
+                judge,
+                arrivals,
+                tally,
+                this::coldDue,
+                this::originFell);
+        discovery = new DiscoveryService(
+                scenario.discovery(),
+                platform.time("discovery", 0),
+                streams.of("discovery"),
+                judge,
+                platform,
+                b -> scenario.discovery().pushed() ? -1 : cutOff(b));
         clients = new Clients(scenario, platform, streams, catalogue, judge, tally);
         cutSince = new long[scenario.zones().size()];
         Arrays.fill(cutSince, -1);
     }
 
     private Router router(String name, int zone, RouterKind kind) {
-        return new Router(name, zone, kind, scenario.figures(), platform.time(name, zone), streams.of(name), catalogue,
-                fills, judge, arrivals, tally, this::fell);
+        return new Router(
+                name,
+                zone,
+                kind,
+                scenario.figures(),
+                platform.time(name, zone),
+                streams.of(name),
+                catalogue,
+                fills,
+                judge,
+                arrivals,
+                tally,
+                this::fell);
     }
 
     public int originPlace() {
@@ -110,8 +145,9 @@
 
     /** The host that is at a place, or was last; null where it takes no requests. */
     public String hostAt(int place) {
-        return place == originPlace() ? Origin.NAME : place >= 0 && place < slots.size() ? slots.get(place).router.name()
-                : null;
+        return place == originPlace()
+                ? Origin.NAME
+                : place >= 0 && place < slots.size() ? slots.get(place).router.name() : null;
     }
 
     public Clients clients() {
@@ -139,7 +175,8 @@
         int held = Math.min(scenario.keys().count(), MOST_PREFILLED / Math.max(1, slots.size()));
         for (int rank = 0; rank < held && scenario.keys().prefill(); rank++) {
             long key = catalogue.key(rank, 0);
-            popular.add(new Router.Popular(Catalogue.name(key), catalogue.thing(key).size()));
+            popular.add(
+                    new Router.Popular(Catalogue.name(key), catalogue.thing(key).size()));
         }
         for (Slot slot : slots) {
             slot.router.start(0);
@@ -148,8 +185,8 @@
             discovery.begin(slot.entry);
             listen(slot);
         }
-        discovery.begin(new Entry(Origin.NAME, originPlace(), scenario.zones().get(0), "origin", 0, Status.IN_SERVICE, 1,
-                0));
+        discovery.begin(
+                new Entry(Origin.NAME, originPlace(), scenario.zones().get(0), "origin", 0, Status.IN_SERVICE, 1, 0));
         platform.listen(originPlace(), Origin.NAME, 0, origin::accept);
         if (scenario.discovery().pushed()) {
             openAgents();
@@ -171,8 +208,11 @@
     /** Since when a balancer is cut off from the first zone, where origin and discovery are; -1 if it is not. */
     private long cutOff(int balancer) {
         int zone = balancer % scenario.zones().size();
-        return zone == 0 ? -1 : cutSince[0] < 0 || cutSince[zone] < 0 ? Math.max(cutSince[0], cutSince[zone])
-                : Math.min(cutSince[0], cutSince[zone]);
+        return zone == 0
+                ? -1
+                : cutSince[0] < 0 || cutSince[zone] < 0
+                        ? Math.max(cutSince[0], cutSince[zone])
+                        : Math.min(cutSince[0], cutSince[zone]);
     }
 
     /** Lets the clients ask and the script begin. */
@@ -198,13 +238,17 @@
 
     /** Whether all that was asked is over, or long past its time. */
     public boolean over() {
-        long longest = scenario.classes().stream().mapToLong(Scenario.RequestClass::giveUpMicros).max().orElse(0);
+        long longest = scenario.classes().stream()
+                .mapToLong(Scenario.RequestClass::giveUpMicros)
+                .max()
+                .orElse(0);
         return !asking() && (clients.open() == 0 || time.now() >= asksUntil() + PATIENCE * longest);
     }
 
     private void change() {
         time.after((long) (Draw.exponential(chance) / scenario.keys().changes() * 1e6) + 1, () -> {
-            fills.changed(Catalogue.name(catalogue.key(chance.nextInt(scenario.keys().count()), time.now() - start)));
+            fills.changed(
+                    Catalogue.name(catalogue.key(chance.nextInt(scenario.keys().count()), time.now() - start)));
             change();
         });
     }
@@ -212,8 +256,15 @@
     private Entry entry(Slot slot) {
         Router r = slot.router;
         double rough = r.size() * (1 + ROUGH * (2 * chance.nextDouble() - 1));
-        return new Entry(r.name(), slot.place, scenario.zones().get(r.zone()), r.kind().name(), 0, Status.IN_SERVICE,
-                Math.round(rough * 100) / 100.0, r.since());
+        return new Entry(
+                r.name(),
+                slot.place,
+                scenario.zones().get(r.zone()),
+                r.kind().name(),
+                0,
+                Status.IN_SERVICE,
+                Math.round(rough * 100) / 100.0,
+                r.since());
     }
 
     private void listen(Slot slot) {
@@ -261,8 +312,11 @@
 
     /** So many of the routers that run, chosen by the seed, within a zone where one is named. */
     private List<Slot> some(Act act) {
-        List<Slot> running = new ArrayList<>(slots.stream().filter(s -> s.router.state() == Router.State.UP
-                && (act.zone().isEmpty() || scenario.zones().get(s.router.zone()).equals(act.zone()))).toList());
+        List<Slot> running = new ArrayList<>(slots.stream()
+                .filter(s -> s.router.state() == Router.State.UP
+                        && (act.zone().isEmpty()
+                                || scenario.zones().get(s.router.zone()).equals(act.zone())))
+                .toList());
         shuffle(running);
         return running.subList(0, Math.min(act.count(), running.size()));
     }
--- a/emulator/src/test/java/baymoor/emulator/EmulatorLayoutTest.java
+++ b/emulator/src/test/java/baymoor/emulator/EmulatorLayoutTest.java
@@ -13,22 +13,51 @@
 
     @Test
     public void packagesImportInOneDirection() {
-        JavaClasses program = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+        JavaClasses program = new ClassFileImporter()
+                .withImportOption(new ImportOption.DoNotIncludeTests())
                 .importPackages("baymoor", "merlinstep");
         slices().matching("baymoor.emulator.(*)..").should().beFreeOfCycles().check(program);
-        ArchRuleDefinition.noClasses().that().resideOutsideOfPackages("baymoor.emulator..", "baymoor.cli..")
-                .should().dependOnClassesThat().resideInAnyPackage("baymoor.emulator..", "baymoor.cli..")
-                .because("what serves knows no tool").check(program);
-        ArchRuleDefinition.noClasses().that().resideInAPackage("baymoor.emulator..").should().dependOnClassesThat()
-                .resideInAnyPackage("baymoor.cli..").check(program);
-        ArchRuleDefinition.noClasses().that().resideInAnyPackage("baymoor.emulator.world..",
-                "baymoor.emulator.judge..", "baymoor.emulator.engine..", "baymoor.emulator.chance..",
-                "baymoor.emulator.scenario..", "baymoor.emulator.virtual..").should().dependOnClassesThat()
+        ArchRuleDefinition.noClasses()
+                .that()
+                .resideOutsideOfPackages("baymoor.emulator..", "baymoor.cli..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("baymoor.emulator..", "baymoor.cli..")
+                .because("what serves knows no tool")
+                .check(program);
+        ArchRuleDefinition.noClasses()
+                .that()
+                .resideInAPackage("baymoor.emulator..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("baymoor.cli..")
+                .check(program);
+        ArchRuleDefinition.noClasses()
+                .that()
+                .resideInAnyPackage(
+                        "baymoor.emulator.world..",
+                        "baymoor.emulator.judge..",
+                        "baymoor.emulator.engine..",
+                        "baymoor.emulator.chance..",
+                        "baymoor.emulator.scenario..",
+                        "baymoor.emulator.virtual..")
+                .should()
+                .dependOnClassesThat()
                 .resideInAnyPackage("baymoor.net..", "org.apache.mina..", "java.nio.channels..")
-                .because("a state machine knows no socket").check(program);
-        ArchRuleDefinition.noClasses().that().resideInAnyPackage("baymoor.emulator.judge..").should()
-                .dependOnClassesThat().resideInAnyPackage("baymoor.emulator.world..", "baymoor.emulator.virtual..",
-                        "baymoor.emulator.sockets..", "java.io..", "java.nio.file..")
-                .because("the judge hears what happened and does nothing else").check(program);
+                .because("a state machine knows no socket")
+                .check(program);
+        ArchRuleDefinition.noClasses()
+                .that()
+                .resideInAnyPackage("baymoor.emulator.judge..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "baymoor.emulator.world..",
+                        "baymoor.emulator.virtual..",
+                        "baymoor.emulator.sockets..",
+                        "java.io..",
+                        "java.nio.file..")
+                .because("the judge hears what happened and does nothing else")
+                .check(program);
     }
 }
--- a/emulator/src/test/java/baymoor/emulator/HeldLink.java
+++ b/emulator/src/test/java/baymoor/emulator/HeldLink.java
@@ -34,5 +34,5 @@
     }
 
     @Override
-    public void reading(boolean on) { }
+    public void reading(boolean on) {}
 }
--- a/emulator/src/test/java/baymoor/emulator/engine/SiteTest.java
+++ b/emulator/src/test/java/baymoor/emulator/engine/SiteTest.java
@@ -34,11 +34,13 @@
     @Test
     public void whatIsDoneAtOnceComesBeforeAnythingElse() {
         Site site = site(0);
-        engine.after(1, () -> site.post(() -> {
-            site.post(() -> see("posted"));
-            site.after(0, () -> see("at once"));
-            see("task");
-        }));
+        engine.after(
+                1,
+                () -> site.post(() -> {
+                    site.post(() -> see("posted"));
+                    site.after(0, () -> see("at once"));
+                    see("task");
+                }));
         engine.after(1, () -> see("later"));
         engine.runUntil(engine.now() + 2);
         assertEquals(List.of("task@1", "at once@1", "later@1", "posted@1"), seen);
--- a/emulator/src/test/java/baymoor/emulator/fabric/FabricTest.java
+++ b/emulator/src/test/java/baymoor/emulator/fabric/FabricTest.java
@@ -25,6 +25,7 @@
     private final Fabric fabric = fabric("");
     /** The real connection, as a driver would have it. */
     private final HeldLink real = new HeldLink();
+
     private final Host host = new Host();
 
     private Fabric fabric(String net) {
@@ -44,7 +45,7 @@
         }
 
         @Override
-        public void opened() { }
+        public void opened() {}
 
         @Override
         public void received(byte[] bytes) {
--- a/emulator/src/test/java/baymoor/emulator/judge/JudgeTest.java
+++ b/emulator/src/test/java/baymoor/emulator/judge/JudgeTest.java
@@ -29,7 +29,10 @@
     }
 
     private RequestClass kind(String name) {
-        return scenario.classes().stream().filter(c -> c.name().equals(name)).findFirst().orElseThrow();
+        return scenario.classes().stream()
+                .filter(c -> c.name().equals(name))
+                .findFirst()
+                .orElseThrow();
     }
 
     private void taken(String kind) {
--- a/emulator/src/test/java/baymoor/emulator/scenario/ScenarioReaderTest.java
+++ b/emulator/src/test/java/baymoor/emulator/scenario/ScenarioReaderTest.java
@@ -16,7 +16,8 @@
 
     private static List<String> mistakes(String text) {
         return assertThrows(BadScenario.class, () -> ScenarioReader.parse(text, "f.toml")).mistakes().stream()
-                .map(m -> m.text("f.toml")).toList();
+                .map(m -> m.text("f.toml"))
+                .toList();
     }
 
     @Test
@@ -26,7 +27,8 @@
         assertEquals(4, s.balancers().count());
         assertEquals(12, s.routerCount());
         assertEquals(170, s.traffic().rate(), 0);
-        assertEquals(List.of("map-read", "search-order", "parcel-watch"),
+        assertEquals(
+                List.of("map-read", "search-order", "parcel-watch"),
                 s.classes().stream().map(Scenario.RequestClass::name).toList());
     }
 
@@ -55,16 +57,22 @@
 
     @Test
     public void aTimeWithoutAUnitSaysWhatToWrite() {
-        assertEquals(List.of("f.toml:1:1: duration = 60 has no unit; write a time such as \"800ms\" (units: us, ms, s, m, h)"),
+        assertEquals(
+                List.of(
+                        "f.toml:1:1: duration = 60 has no unit; write a time such as \"800ms\" (units: us, ms, s, m, h)"),
                 mistakes("duration = 60"));
-        assertEquals(List.of("f.toml:1:1: duration = 60 has no unit; write a time such as \"800ms\" (units: us, ms, s, m, h)"),
+        assertEquals(
+                List.of(
+                        "f.toml:1:1: duration = 60 has no unit; write a time such as \"800ms\" (units: us, ms, s, m, h)"),
                 mistakes("duration = \"60\""));
     }
 
     @Test
     public void aQuantityWithoutQuotesSaysWhatToWrite() {
         List<String> said = mistakes("\nduration = 60s\n");
-        assertTrue(said.toString(), said.get(0).startsWith("f.toml:2:") && said.get(0).contains("write duration = \"60s\""));
+        assertTrue(
+                said.toString(),
+                said.get(0).startsWith("f.toml:2:") && said.get(0).contains("write duration = \"60s\""));
     }
 
     @Test
@@ -86,13 +94,24 @@
                 for = "1s"
                 """);
         assertEquals(7, said.size());
-        assertTrue(said.toString(), said.stream().anyMatch(m -> m.startsWith("f.toml:1:1: durration is not a field; did you mean duration?")));
-        assertTrue(said.toString(), said.stream().anyMatch(m -> m.startsWith("f.toml:3:1: balancers.count is 0, under 1")));
-        assertTrue(said.toString(), said.stream().anyMatch(m -> m.startsWith("f.toml:5:1: traffic.rate = \"fast\" is not a rate")));
-        assertTrue(said.toString(), said.stream().anyMatch(m -> m.startsWith("f.toml:6:1: traffic.retry is out of range")));
+        assertTrue(
+                said.toString(),
+                said.stream()
+                        .anyMatch(m -> m.startsWith("f.toml:1:1: durration is not a field; did you mean duration?")));
+        assertTrue(
+                said.toString(),
+                said.stream().anyMatch(m -> m.startsWith("f.toml:3:1: balancers.count is 0, under 1")));
+        assertTrue(
+                said.toString(),
+                said.stream().anyMatch(m -> m.startsWith("f.toml:5:1: traffic.rate = \"fast\" is not a rate")));
+        assertTrue(
+                said.toString(),
+                said.stream().anyMatch(m -> m.startsWith("f.toml:6:1: traffic.retry is out of range")));
         assertTrue(said.toString(), said.stream().anyMatch(m -> m.contains("script[1].zone is missing")));
         assertTrue(said.toString(), said.stream().anyMatch(m -> m.contains("script[2].at is after the end")));
-        assertTrue(said.toString(), said.stream().anyMatch(m -> m.contains("script[2].do = \"surges\" is none of surge, scan")));
+        assertTrue(
+                said.toString(),
+                said.stream().anyMatch(m -> m.contains("script[2].do = \"surges\" is none of surge, scan")));
     }
 
     @Test
--- a/emulator/src/test/java/baymoor/emulator/virtual/FaultyBalancerTest.java
+++ b/emulator/src/test/java/baymoor/emulator/virtual/FaultyBalancerTest.java
@@ -127,21 +127,21 @@
             }
 
             @Override
-            public void received(byte[] answer) { }
+            public void received(byte[] answer) {}
 
             @Override
-            public void written() { }
+            public void written() {}
 
             @Override
-            public void closed() { }
+            public void closed() {}
         });
     }
 
     @Test
     public void theGoodBalancerBreaksNothing() throws Exception {
         for (String scenario : new String[] {SMALL, WRITES}) {
-            VirtualRun.Result result = VirtualRun.play(ScenarioReader.parse(scenario, "good"),
-                    VirtualRun.Options.seed(1));
+            VirtualRun.Result result =
+                    VirtualRun.play(ScenarioReader.parse(scenario, "good"), VirtualRun.Options.seed(1));
             assertEquals(result.broken().toString(), 0, result.broken().size());
             assertTrue(result.tally().inTime() > 300);
         }
@@ -179,26 +179,41 @@
 
     @Test
     public void aBackOffForAPaidSearchThatHasRun() throws Exception {
-        assertEquals(Rule.HARMLESS_REFUSAL, caught(WRITES, answers((link, bytes) ->
-                served(bytes) ? "-BUSY\r\n".getBytes(StandardCharsets.US_ASCII) : bytes)));
+        assertEquals(
+                Rule.HARMLESS_REFUSAL,
+                caught(
+                        WRITES,
+                        answers((link, bytes) ->
+                                served(bytes) ? "-BUSY\r\n".getBytes(StandardCharsets.US_ASCII) : bytes)));
     }
 
     @Test
     public void everyAttemptTwiceAtOnce() throws Exception {
-        assertEquals(Rule.ONE_RELAY_AT_A_TIME, caught(SMALL, commands("OBJ.GET",
-                (time, dialer, to, bytes) -> once(dialer, to, bytes))));
+        assertEquals(
+                Rule.ONE_RELAY_AT_A_TIME,
+                caught(SMALL, commands("OBJ.GET", (time, dialer, to, bytes) -> once(dialer, to, bytes))));
     }
 
     @Test
     public void aPaidSearchSentAgainWhenItIsOver() throws Exception {
-        assertEquals(Rule.UNSAFE_ONCE, caught(WRITES, commands("c=search-order",
-                (time, dialer, to, bytes) -> time.after(1_200_000, () -> once(dialer, to, bytes)))));
+        assertEquals(
+                Rule.UNSAFE_ONCE,
+                caught(
+                        WRITES,
+                        commands(
+                                "c=search-order",
+                                (time, dialer, to, bytes) -> time.after(1_200_000, () -> once(dialer, to, bytes)))));
     }
 
     @Test
     public void aKeyedWriteSentAgainAfterItsWindow() throws Exception {
-        assertEquals(Rule.KEYED_ONCE, caught(WRITES, commands("c=parcel-watch",
-                (time, dialer, to, bytes) -> time.after(2_500_000, () -> once(dialer, to, bytes)))));
+        assertEquals(
+                Rule.KEYED_ONCE,
+                caught(
+                        WRITES,
+                        commands(
+                                "c=parcel-watch",
+                                (time, dialer, to, bytes) -> time.after(2_500_000, () -> once(dialer, to, bytes)))));
     }
 
     /** What discovery says to the balancers goes through a replacement. */
@@ -216,8 +231,10 @@
                     public void received(byte[] bytes) {
                         String text = new String(bytes, StandardCharsets.ISO_8859_1);
                         // Of the same length, since chunks state theirs.
-                        events.received(text.contains("endpoints")
-                                ? text.replaceAll(pattern, instead).getBytes(StandardCharsets.ISO_8859_1) : bytes);
+                        events.received(
+                                text.contains("endpoints")
+                                        ? text.replaceAll(pattern, instead).getBytes(StandardCharsets.ISO_8859_1)
+                                        : bytes);
                     }
 
                     @Override
@@ -264,8 +281,13 @@
 
     @Test
     public void aColdRouterThatIsTakenForWarm() throws Exception {
-        assertEquals(Rule.COLD_ROUTER, caught(COLD.replace("pause = \"0ms\"", "pause = \"0ms\"\ncold_share = \"2%\"\n"
-                + "cold = \"23s\"\nmiss = \"60ms\""), list("\"since_ms\":[0-9]{10}", "\"since_ms\":0         ")));
+        assertEquals(
+                Rule.COLD_ROUTER,
+                caught(
+                        COLD.replace(
+                                "pause = \"0ms\"",
+                                "pause = \"0ms\"\ncold_share = \"2%\"\n" + "cold = \"23s\"\nmiss = \"60ms\""),
+                        list("\"since_ms\":[0-9]{10}", "\"since_ms\":0         ")));
     }
 
     @Test
@@ -278,15 +300,18 @@
         Sabotage both = new Sabotage() {
             @Override
             public Dialer dialer(Time time, Dialer real) {
-                return list("\"since_ms\":[0-9]{10}", "\"since_ms\":0         ").dialer(time,
-                        storm.dialer(time, real));
+                return list("\"since_ms\":[0-9]{10}", "\"since_ms\":0         ").dialer(time, storm.dialer(time, real));
             }
         };
         // Many keys, all kept where it is warm: nearly every read at a cold router is a miss.
-        Scenario read = ScenarioReader.parse(COLD.replace("tip_multiple = 1.2", "tip_multiple = 1000")
-                .replace("count = 300", "count = 20000\nexponent = 0.3\nsize = \"256B\"\nsize_sigma = 0")
-                .replace("capacity = \"30/s\"", "capacity = \"20/s\"\nfall_multiple = 1.5\nfall = \"2s\"\nmost_falls = 50"), "storm");
-        VirtualRun.Result result = VirtualRun.play(read, new VirtualRun.Options(1, null, true, at -> { }), both);
+        Scenario read = ScenarioReader.parse(
+                COLD.replace("tip_multiple = 1.2", "tip_multiple = 1000")
+                        .replace("count = 300", "count = 20000\nexponent = 0.3\nsize = \"256B\"\nsize_sigma = 0")
+                        .replace(
+                                "capacity = \"30/s\"",
+                                "capacity = \"20/s\"\nfall_multiple = 1.5\nfall = \"2s\"\nmost_falls = 50"),
+                "storm");
+        VirtualRun.Result result = VirtualRun.play(read, new VirtualRun.Options(1, null, true, at -> {}), both);
         assertTrue(result.counts().toString(), result.counts().containsKey(Rule.ORIGIN_SPARED));
     }
 
@@ -324,16 +349,19 @@
 
     @Test
     public void theReportOfABreakNamesSeedTimeAndLastEvents() throws Exception {
-        VirtualRun.Result result = VirtualRun.play(ScenarioReader.parse(SMALL, "faulty"), VirtualRun.Options.seed(7),
-                answers((link, bytes) -> {
+        VirtualRun.Result result = VirtualRun.play(
+                ScenarioReader.parse(SMALL, "faulty"), VirtualRun.Options.seed(7), answers((link, bytes) -> {
                     link.close();
                     return null;
                 }));
         Broken broken = result.broken().get(0);
         assertEquals(7, result.seed());
         assertTrue(broken.atMicros() > 0);
-        assertTrue(broken.text(), broken.last().size() >= 3 && broken.text().contains("asked")
-                && broken.text().contains("relayed"));
+        assertTrue(
+                broken.text(),
+                broken.last().size() >= 3
+                        && broken.text().contains("asked")
+                        && broken.text().contains("relayed"));
         assertFalse(Arrays.asList(broken.request()).contains(""));
     }
 }
--- a/emulator/src/test/java/baymoor/emulator/virtual/ReplayTest.java
+++ b/emulator/src/test/java/baymoor/emulator/virtual/ReplayTest.java
@@ -11,16 +11,27 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.junit.Test;
 
 /** Every example plays through without a broken rule, and twice alike. */
 public class ReplayTest {
 
-    static final List<String> EXAMPLES = List.of("january-surge", "data-centre-cut", "slow-store", "rolling-restart",
-            "cold-router", "scan", "bad-routers", "mass-kill", "zone-back-cold", "replaced-routers", "planning-day",
-            "planning-troubles", "many-before-cold");
+    static final List<String> EXAMPLES = List.of(
+            "january-surge",
+            "data-centre-cut",
+            "slow-store",
+            "rolling-restart",
+            "cold-router",
+            "scan",
+            "bad-routers",
+            "mass-kill",
+            "zone-back-cold",
+            "replaced-routers",
+            "planning-day",
+            "planning-troubles",
+            "many-before-cold");
 
     private static Scenario example(String name) throws Exception {
         return ScenarioReader.read(Path.of("examples/scenarios/" + name + ".toml"));
@@ -39,7 +50,10 @@
                 } else if (!first.fingerprint().equals(second.fingerprint())) {
                     wrong.put(name, "two event logs for one seed");
                 } else if (first.tally().inTime() < first.tally().asked() / 2) {
-                    wrong.put(name, "only " + first.tally().inTime() + " of " + first.tally().asked() + " in time");
+                    wrong.put(
+                            name,
+                            "only " + first.tally().inTime() + " of "
+                                    + first.tally().asked() + " in time");
                 }
             } catch (Exception e) {
                 wrong.put(name, e.toString());
@@ -50,7 +64,7 @@
 
     private static String log(String text, long seed) throws Exception {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        VirtualRun.play(ScenarioReader.parse(text, "replay"), new VirtualRun.Options(seed, out, true, at -> { }));
+        VirtualRun.play(ScenarioReader.parse(text, "replay"), new VirtualRun.Options(seed, out, true, at -> {}));
         return out.toString(StandardCharsets.UTF_8);
     }
 
@@ -63,16 +77,26 @@
 
     @Test
     public void anotherRouterChangesNoArrival() throws Exception {
-        String[] kinds = {"[[routers]]\nkind = \"two-core\"\ncount = 6\n", "[[routers]]\nkind = \"two-core\"\ncount = 7\n"};
-        List<List<String>> connects = Arrays.stream(kinds).map(kind -> {
-            try {
-                return log("warm_up = \"0s\"\nduration = \"1s\"\n[traffic]\nrate = \"40/s\"\nretry = \"0%\"\n" + kind, 1).lines()
-                        .filter(l -> l.contains(" connect clients-")).limit(5).map(l -> l.substring(0, l.indexOf(" n")))
-                        .toList();
-            } catch (Exception e) {
-                throw new AssertionError(e);
-            }
-        }).toList();
+        String[] kinds = {
+            "[[routers]]\nkind = \"two-core\"\ncount = 6\n", "[[routers]]\nkind = \"two-core\"\ncount = 7\n"
+        };
+        List<List<String>> connects = Arrays.stream(kinds)
+                .map(kind -> {
+                    try {
+                        return log(
+                                        "warm_up = \"0s\"\nduration = \"1s\"\n[traffic]\nrate = \"40/s\"\nretry = \"0%\"\n"
+                                                + kind,
+                                        1)
+                                .lines()
+                                .filter(l -> l.contains(" connect clients-"))
+                                .limit(5)
+                                .map(l -> l.substring(0, l.indexOf(" n")))
+                                .toList();
+                    } catch (Exception e) {
+                        throw new AssertionError(e);
+                    }
+                })
+                .toList();
         assertTrue(connects.get(0).size() == 5);
         assertEquals(connects.get(0), connects.get(1));
     }
@@ -80,12 +104,16 @@
     @Test
     public void aHostThatCameBackWhileABalancerRestartedMayBeSentTo() throws Exception {
         // As in the demo: all balancers are down when the list shows the drained routers again.
-        StringBuilder text = new StringBuilder("warm_up = \"0s\"\nduration = \"9s\"\n[traffic]\nrate = \"60/s\"\n"
-                + "[[script]]\nat = \"4s\"\ndo = \"restart-balancers\"\nshare = \"100%\"\nwithin = \"1ms\"\nat_once = \"100%\"\n");
+        StringBuilder text = new StringBuilder(
+                "warm_up = \"0s\"\nduration = \"9s\"\n[traffic]\nrate = \"60/s\"\n"
+                        + "[[script]]\nat = \"4s\"\ndo = \"restart-balancers\"\nshare = \"100%\"\nwithin = \"1ms\"\nat_once = \"100%\"\n");
         for (int i = 0; i < 3; i++) {
-            text.append("[[script]]\nat = \"1s\"\ndo = \"drain-router\"\nfor = \"").append(3 + i).append("s\"\n");
+            text.append("[[script]]\nat = \"1s\"\ndo = \"drain-router\"\nfor = \"")
+                    .append(3 + i)
+                    .append("s\"\n");
         }
-        VirtualRun.Result result = VirtualRun.play(ScenarioReader.parse(text.toString(), "back"), VirtualRun.Options.seed(1));
+        VirtualRun.Result result =
+                VirtualRun.play(ScenarioReader.parse(text.toString(), "back"), VirtualRun.Options.seed(1));
         assertEquals(List.of(), result.broken().stream().map(b -> b.text()).toList());
     }
 }
--- a/emulator/src/test/java/baymoor/emulator/virtual/ShuffledTest.java
+++ b/emulator/src/test/java/baymoor/emulator/virtual/ShuffledTest.java
@@ -174,7 +174,8 @@
 
     private static VirtualRun.Result play(String text, long seed, long order) throws Exception {
         Scenario scenario = ScenarioReader.parse(text, "crossings");
-        return VirtualRun.play(scenario, new VirtualRun.Options(seed, null, false, at -> { }, GRID, order), new Late(seed));
+        return VirtualRun.play(
+                scenario, new VirtualRun.Options(seed, null, false, at -> {}, GRID, order), new Late(seed));
     }
 
     private static String pushed() {
@@ -190,7 +191,10 @@
                 if (!result.kept()) {
                     wrong.put("seed " + seed, result.broken().get(0).text());
                 } else if (result.tally().inTime() < result.tally().asked() / 4) {
-                    wrong.put("seed " + seed, "only " + result.tally().inTime() + " of " + result.tally().asked() + " in time");
+                    wrong.put(
+                            "seed " + seed,
+                            "only " + result.tally().inTime() + " of "
+                                    + result.tally().asked() + " in time");
                 }
             } catch (Exception | AssertionError e) {
                 wrong.put("seed " + seed, e.toString());
@@ -203,6 +207,7 @@
     public void oneSeedGivesOneOrderAndAnotherAnother() throws Exception {
         String first = play(CROSSINGS, 1, 1).fingerprint();
         assertEquals(first, play(CROSSINGS, 1, 1).fingerprint());
-        assertNotEquals("the same world in another order", first, play(CROSSINGS, 1, 2).fingerprint());
+        assertNotEquals(
+                "the same world in another order", first, play(CROSSINGS, 1, 2).fingerprint());
     }
 }
--- a/emulator/src/test/java/baymoor/emulator/world/ClientsOnSocketsTest.java
+++ b/emulator/src/test/java/baymoor/emulator/world/ClientsOnSocketsTest.java
@@ -64,13 +64,13 @@
         }
 
         @Override
-        public void listen(int place, String host, int zone, Acceptor acceptor) { }
+        public void listen(int place, String host, int zone, Acceptor acceptor) {}
 
         @Override
-        public void listenBeside(int balancer, int place, String host, int zone, Acceptor acceptor) { }
+        public void listenBeside(int balancer, int place, String host, int zone, Acceptor acceptor) {}
 
         @Override
-        public void stopListening(int place, boolean silently) { }
+        public void stopListening(int place, boolean silently) {}
 
         @Override
         public Dialer clients(int zone) {
@@ -118,10 +118,10 @@
         }
 
         @Override
-        public void cut(int zone, boolean cut) { }
+        public void cut(int zone, boolean cut) {}
 
         @Override
-        public void loseDatagrams(double share) { }
+        public void loseDatagrams(double share) {}
     }
 
     private void start(String effect) {
@@ -145,8 +145,7 @@
                 effect = "%s"
                 """.formatted(effect), "clients");
         Judge judge = new Judge(time::now, scenario.figures(), SLACK, broken::add);
-        clients = new Clients(scenario, new Loopback(), new Streams(1), new Catalogue(scenario, 1), judge,
-                new Tally());
+        clients = new Clients(scenario, new Loopback(), new Streams(1), new Catalogue(scenario, 1), judge, new Tally());
         clients.ready(0);
         clients.start();
     }
--- a/emulator/src/test/java/baymoor/emulator/world/HostsTest.java
+++ b/emulator/src/test/java/baymoor/emulator/world/HostsTest.java
@@ -71,11 +71,22 @@
                 cold_share = "10%"
                 cold = "10s"
                 """ + more, "hosts");
-        judge = new Judge(time::now, s.figures(), 0, b -> { });
+        judge = new Judge(time::now, s.figures(), 0, b -> {});
         catalogue = new Catalogue(s, 1);
         fills = new Fills(time, 100, s.origin().fallMicros(), key -> router.voided(key));
-        router = new Router("a", 0, s.routers().get(0), s.figures(), time, new Streams(1).of("a"), catalogue, fills,
-                judge, new Arrivals(judge, false), tally, fell::add);
+        router = new Router(
+                "a",
+                0,
+                s.routers().get(0),
+                s.figures(),
+                time,
+                new Streams(1).of("a"),
+                catalogue,
+                fills,
+                judge,
+                new Arrivals(judge, false),
+                tally,
+                fell::add);
         router.start(0);
         return s;
     }
@@ -210,13 +221,22 @@
     }
 
     private Origin origin(Scenario s) {
-        return new Origin(s, time, new Streams(1).of("origin"), catalogue, fills, judge, new Arrivals(judge, false), tally,
-                () -> 0, () -> falls.add("fell"));
+        return new Origin(
+                s,
+                time,
+                new Streams(1).of("origin"),
+                catalogue,
+                fills,
+                judge,
+                new Arrivals(judge, false),
+                tally,
+                () -> 0,
+                () -> falls.add("fell"));
     }
 
     private static String put(String id, String more) {
-        return "PUT /" + KEY + " HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: " + id + "\r\nX-Facts: c=parcel-watch,t=x,d=900"
-                + more + "\r\nContent-Length: 3\r\n\r\nabc";
+        return "PUT /" + KEY + " HTTP/1.1\r\nHost: o\r\nX-Correlation-Id: " + id
+                + "\r\nX-Facts: c=parcel-watch,t=x,d=900" + more + "\r\nContent-Length: 3\r\n\r\nabc";
     }
 
     @Test
--- a/knowledge/src/main/java/baymoor/knowledge/data/Knowledge.java
+++ b/knowledge/src/main/java/baymoor/knowledge/data/Knowledge.java
@@ -45,8 +45,16 @@
      * @param failing       share of its answers that failed, 0 to 1
      * @param out           whether it was out of use
      */
-    public record Host(long id, long since, long learnedAt, double support, double latencyMicros, double limit,
-            double failing, boolean out) implements Item {
+    public record Host(
+            long id,
+            long since,
+            long learnedAt,
+            double support,
+            double latencyMicros,
+            double limit,
+            double failing,
+            boolean out)
+            implements Item {
         public Host {
             sound(support, latencyMicros, limit, failing);
             if (failing > 1) {
--- a/knowledge/src/main/java/baymoor/knowledge/file/Format.java
+++ b/knowledge/src/main/java/baymoor/knowledge/file/Format.java
@@ -45,15 +45,19 @@
         }
     }
 
-    private Format() { }
+    private Format() {}
 
     public static byte[] write(Knowledge k) {
         return frame(payload(k), VERSION);
     }
 
     static byte[] frame(byte[] payload, int version) {
-        ByteBuffer bytes = ByteBuffer.allocate(HEAD + payload.length).put(MAGIC).putInt(version).putInt(payload.length)
-                .putInt(0).put(payload);
+        ByteBuffer bytes = ByteBuffer.allocate(HEAD + payload.length)
+                .put(MAGIC)
+                .putInt(version)
+                .putInt(payload.length)
+                .putInt(0)
+                .put(payload);
         bytes.putInt(SUM_AT, sum(bytes.array()));
         return bytes.array();
     }
@@ -193,8 +197,15 @@
                 case "hosts" -> {
                     while (p.nextToken() == JsonToken.START_OBJECT) {
                         Fields f = Fields.read(p);
-                        hosts.add(new Host(f.whole("id"), f.whole("since"), f.whole("at"), f.real("support", support),
-                                f.real("latency", 0), f.real("limit", 0), f.real("failing", 0), f.whole("out") != 0));
+                        hosts.add(new Host(
+                                f.whole("id"),
+                                f.whole("since"),
+                                f.whole("at"),
+                                f.real("support", support),
+                                f.real("latency", 0),
+                                f.real("limit", 0),
+                                f.real("failing", 0),
+                                f.whole("out") != 0));
                     }
                 }
                 case "keys" -> {
@@ -206,8 +217,8 @@
                 }
                 case "origin" -> {
                     Fields f = Fields.read(p);
-                    origin = new Origin(f.whole("at"), f.real("support", support), f.real("per_second", 0),
-                            f.real("quick", 0));
+                    origin = new Origin(
+                            f.whole("at"), f.real("support", support), f.real("per_second", 0), f.real("quick", 0));
                 }
                 default -> p.skipChildren();
             }
--- a/knowledge/src/main/java/baymoor/knowledge/file/Store.java
+++ b/knowledge/src/main/java/baymoor/knowledge/file/Store.java
@@ -123,7 +123,10 @@
         }
         Path unfinished = folder.resolve(UNFINISHED);
         try {
-            try (FileChannel out = FileChannel.open(unfinished, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+            try (FileChannel out = FileChannel.open(
+                    unfinished,
+                    StandardOpenOption.CREATE,
+                    StandardOpenOption.WRITE,
                     StandardOpenOption.TRUNCATE_EXISTING)) {
                 ByteBuffer bytes = ByteBuffer.wrap(Format.write(knowledge));
                 while (bytes.hasRemaining()) {
--- a/knowledge/src/main/java/baymoor/knowledge/policy/Ageing.java
+++ b/knowledge/src/main/java/baymoor/knowledge/policy/Ageing.java
@@ -27,8 +27,8 @@
      * @param originMillis of what the origin can take
      * @param leastSupport under which an item is dropped
      */
-    public record HalfLives(long healthMillis, long speedMillis, long keyMillis, long originMillis,
-            double leastSupport) {
+    public record HalfLives(
+            long healthMillis, long speedMillis, long keyMillis, long originMillis, double leastSupport) {
         public HalfLives {
             if (healthMillis <= 0 || speedMillis <= 0 || keyMillis <= 0 || originMillis <= 0 || !(leastSupport > 0)) {
                 throw new IllegalArgumentException("a half-life or the least support is not above 0");
@@ -47,10 +47,10 @@
      * @param growth          factor by which it could raise them within one period
      * @param coldMillis      for which a host that has started is cold
      */
-    public record Fresh(double limit, double latencyMicros, double originPerSecond, double growth, long coldMillis) { }
+    public record Fresh(double limit, double latencyMicros, double originPerSecond, double growth, long coldMillis) {}
 
     /** What is listed of a host now; null from the look-up where it is not. */
-    public record Listed(long since) { }
+    public record Listed(long since) {}
 
     private final HalfLives halfLives;
     private final Fresh fresh;
@@ -82,8 +82,8 @@
                 keys.add(new Key(k.key(), k.learnedAt(), k.support() * left, k.rate() * left));
             }
         }
-        return new Knowledge(recalled.instance(), recalled.takenAt(), recalled.upFor(), hosts, keys,
-                origin(recalled.origin(), now));
+        return new Knowledge(
+                recalled.instance(), recalled.takenAt(), recalled.upFor(), hosts, keys, origin(recalled.origin(), now));
     }
 
     private boolean enough(Item item, double left) {
@@ -101,9 +101,15 @@
         double health = left(h.learnedAt(), now, halfLives.healthMillis);
         double limit = fresh.limit + (h.limit() - fresh.limit) * speed;
         boolean cold = listed.since > 0 && now - listed.since < fresh.coldMillis;
-        return new Host(h.id(), h.since(), h.learnedAt(), h.support() * speed,
+        return new Host(
+                h.id(),
+                h.since(),
+                h.learnedAt(),
+                h.support() * speed,
                 fresh.latencyMicros + (h.latencyMicros() - fresh.latencyMicros) * speed,
-                cold ? Math.min(limit, fresh.limit) : limit, h.failing() * health, h.out() && health >= 0.5);
+                cold ? Math.min(limit, fresh.limit) : limit,
+                h.failing() * health,
+                h.out() && health >= 0.5);
     }
 
     private Origin origin(Origin o, long now) {
@@ -112,7 +118,10 @@
             return null;
         }
         double believed = fresh.originPerSecond + (o.perSecond() - fresh.originPerSecond) * left;
-        return new Origin(o.learnedAt(), o.support() * left, Math.min(believed, fresh.originPerSecond * fresh.growth),
+        return new Origin(
+                o.learnedAt(),
+                o.support() * left,
+                Math.min(believed, fresh.originPerSecond * fresh.growth),
                 o.quickMicros());
     }
 }
--- a/knowledge/src/main/java/baymoor/knowledge/policy/Merge.java
+++ b/knowledge/src/main/java/baymoor/knowledge/policy/Merge.java
@@ -20,17 +20,22 @@
 
     /** The newer process first; then the later learned; then the better supported; then by figures, so that order is total. */
     private static final Comparator<Host> HOSTS = Comparator.comparingLong(Host::since)
-            .thenComparing(Merge::byItem).thenComparingDouble(Host::latencyMicros).thenComparingDouble(Host::limit)
-            .thenComparingDouble(Host::failing).thenComparing(Host::out);
-    private static final Comparator<Key> KEYS = Comparator.<Key>comparingInt(k -> 0).thenComparing(Merge::byItem)
-            .thenComparingDouble(Key::rate);
+            .thenComparing(Merge::byItem)
+            .thenComparingDouble(Host::latencyMicros)
+            .thenComparingDouble(Host::limit)
+            .thenComparingDouble(Host::failing)
+            .thenComparing(Host::out);
+
+    private static final Comparator<Key> KEYS =
+            Comparator.<Key>comparingInt(k -> 0).thenComparing(Merge::byItem).thenComparingDouble(Key::rate);
     private static final Comparator<Knowledge.Origin> ORIGINS = Comparator.<Knowledge.Origin>comparingInt(o -> 0)
             .thenComparing(Merge::byItem)
             // Of two that are alike the lower is taken: too much asked of the origin hurts everyone.
-            .thenComparing(Comparator.comparingDouble(Knowledge.Origin::perSecond).reversed())
+            .thenComparing(
+                    Comparator.comparingDouble(Knowledge.Origin::perSecond).reversed())
             .thenComparingDouble(Knowledge.Origin::quickMicros);
 
-    private Merge() { }
+    private Merge() {}
 
     private static int byItem(Item a, Item b) {
         int byTime = Long.compare(a.learnedAt(), b.learnedAt());
@@ -40,10 +45,18 @@
     public static Knowledge of(Knowledge a, Knowledge b) {
         TreeSet<String> names = new TreeSet<>(List.of(a.instance().split("\\+")));
         names.addAll(List.of(b.instance().split("\\+")));
-        Knowledge.Origin origin = a.origin() == null ? b.origin() : b.origin() == null ? a.origin()
-                : ORIGINS.compare(a.origin(), b.origin()) >= 0 ? a.origin() : b.origin();
-        return new Knowledge(String.join("+", names), Math.min(a.takenAt(), b.takenAt()), Math.max(a.upFor(), b.upFor()),
-                better(a.hosts(), b.hosts(), Host::id, HOSTS), better(a.keys(), b.keys(), Key::key, KEYS), origin);
+        Knowledge.Origin origin = a.origin() == null
+                ? b.origin()
+                : b.origin() == null
+                        ? a.origin()
+                        : ORIGINS.compare(a.origin(), b.origin()) >= 0 ? a.origin() : b.origin();
+        return new Knowledge(
+                String.join("+", names),
+                Math.min(a.takenAt(), b.takenAt()),
+                Math.max(a.upFor(), b.upFor()),
+                better(a.hosts(), b.hosts(), Host::id, HOSTS),
+                better(a.keys(), b.keys(), Key::key, KEYS),
+                origin);
     }
 
     private static <T> List<T> better(List<T> a, List<T> b, ToLongFunction<T> id, Comparator<T> more) {
--- a/knowledge/src/test/java/baymoor/knowledge/file/KillLoopTest.java
+++ b/knowledge/src/test/java/baymoor/knowledge/file/KillLoopTest.java
@@ -53,9 +53,15 @@
     }
 
     private Process start() throws IOException {
-        return new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xshare:auto",
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), Writer.class.getName(),
-                temporary.getRoot().toString()).start();
+        return new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xshare:auto",
+                        "-XX:TieredStopAtLevel=1",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Writer.class.getName(),
+                        temporary.getRoot().toString())
+                .start();
     }
 
     @Test
@@ -66,8 +72,8 @@
         long saved = 0;
         for (int i = 0; i < kills; i++) {
             Process writer = start();
-            try (BufferedReader out = new BufferedReader(new InputStreamReader(writer.getInputStream(),
-                    StandardCharsets.US_ASCII))) {
+            try (BufferedReader out =
+                    new BufferedReader(new InputStreamReader(writer.getInputStream(), StandardCharsets.US_ASCII))) {
                 int lines = 1 + moments.nextInt(12);
                 String line = null;
                 for (int l = 0; l < lines; l++) {
@@ -83,8 +89,9 @@
                 saved = Long.parseLong(line);
                 for (String more = out.readLine(); more != null; more = out.readLine()) {
                     // The last line may be cut off by the kill; a number before it was written whole.
-                    saved = Math.max(saved, more.matches("[0-9]+") && more.length() >= line.length()
-                            ? Long.parseLong(more) : saved);
+                    saved = Math.max(
+                            saved,
+                            more.matches("[0-9]+") && more.length() >= line.length() ? Long.parseLong(more) : saved);
                 }
             }
             Store store = new Store(temporary.getRoot().toPath(), 3, said::add);
@@ -93,8 +100,11 @@
             assertEquals(numbered(loaded.takenAt()), loaded);
             Ageing ageing = new Ageing(Ageing.HalfLives.USUAL, new Ageing.Fresh(16, 0, 10, 1.5, 23_000));
             Knowledge aged = ageing.weigh(loaded, loaded.takenAt() + 120_000, id -> new Ageing.Listed(0));
-            assertTrue("old knowledge is discounted", aged.hosts().stream().allMatch(h -> h.support()
-                    <= 0.51 * loaded.hosts().get((int) h.id()).support()));
+            assertTrue(
+                    "old knowledge is discounted",
+                    aged.hosts().stream()
+                            .allMatch(h -> h.support()
+                                    <= 0.51 * loaded.hosts().get((int) h.id()).support()));
         }
         assertEquals("no snapshot was damaged", List.of(), said);
     }
--- a/knowledge/src/test/java/baymoor/knowledge/file/StoreTest.java
+++ b/knowledge/src/test/java/baymoor/knowledge/file/StoreTest.java
@@ -28,11 +28,17 @@
 
     @Rule
     public final TemporaryFolder temporary = new TemporaryFolder();
+
     private final List<String> said = new ArrayList<>();
 
     private static Knowledge knowledge(long at) {
-        return new Knowledge("n0", at, 5, List.of(new Host(1, 0, at, 3, 20_000, 12, 0.25, false), new Host(2, 77, at, 1, 5,
-                6, 0, true)), List.of(new Key(-7, at, 2, 1.5)), new Origin(at, 4, 30, 900));
+        return new Knowledge(
+                "n0",
+                at,
+                5,
+                List.of(new Host(1, 0, at, 3, 20_000, 12, 0.25, false), new Host(2, 77, at, 1, 5, 6, 0, true)),
+                List.of(new Key(-7, at, 2, 1.5)),
+                new Origin(at, 4, 30, 900));
     }
 
     private Store store(int kept) {
@@ -59,7 +65,8 @@
     @Test
     public void aNewerVersionIsRefusedInALineThatSaysSo() {
         byte[] newer = Format.frame(new byte[] {(byte) 0xbf, (byte) 0xff}, Format.VERSION + 1);
-        assertEquals("of format version 3; this program reads 1 to 2",
+        assertEquals(
+                "of format version 3; this program reads 1 to 2",
                 assertThrows(Format.Unreadable.class, () -> Format.read(newer)).getMessage());
     }
 
@@ -112,7 +119,8 @@
 
     @Test
     public void aFolderBelongsToOneAtATime() throws IOException {
-        try (Store first = store(2); Store second = store(2)) {
+        try (Store first = store(2);
+                Store second = store(2)) {
             assertTrue(first.open());
             assertFalse(second.open());
             assertFalse(second.save(knowledge(1)));
--- a/knowledge/src/test/java/baymoor/knowledge/policy/AgeingTest.java
+++ b/knowledge/src/test/java/baymoor/knowledge/policy/AgeingTest.java
@@ -49,8 +49,13 @@
     @Test
     public void aWeekOldSaysNothing() {
         long week = 7 * 24 * 3_600_000L;
-        Knowledge old = new Knowledge("a", NOW - week, 9, List.of(host(NOW - week, 64)),
-                List.of(new Key(7, NOW - week, 1e6, 500)), new Origin(NOW - week, 1e6, 50, 9));
+        Knowledge old = new Knowledge(
+                "a",
+                NOW - week,
+                9,
+                List.of(host(NOW - week, 64)),
+                List.of(new Key(7, NOW - week, 1e6, 500)),
+                new Origin(NOW - week, 1e6, 50, 9));
         Knowledge left = ageing.weigh(old, NOW, LISTED);
         assertTrue(left.hosts().isEmpty() && left.keys().isEmpty());
         assertNull(left.origin());
@@ -58,9 +63,14 @@
 
     @Test
     public void aProcessThatStartedSinceOrIsNotListedIsForgotten() {
-        assertTrue(weigh(host(NOW - 100, 64), id -> new Ageing.Listed(NOW - 50)).hosts().isEmpty());
-        assertTrue("also where the list is behind", weigh(host(NOW - 100, 64), id -> new Ageing.Listed(NOW - 9_000))
-                .hosts().isEmpty());
+        assertTrue(weigh(host(NOW - 100, 64), id -> new Ageing.Listed(NOW - 50))
+                .hosts()
+                .isEmpty());
+        assertTrue(
+                "also where the list is behind",
+                weigh(host(NOW - 100, 64), id -> new Ageing.Listed(NOW - 9_000))
+                        .hosts()
+                        .isEmpty());
         assertTrue(weigh(host(NOW - 100, 64), id -> null).hosts().isEmpty());
     }
 
@@ -73,9 +83,12 @@
     public void nothingRecalledLiftsWhatAColdHostIsSent() {
         long since = NOW - 5_000;
         Host warmed = new Host(1, since, NOW - 100, 40, 20_000, 64, 0, false);
-        assertEquals(16, weigh(warmed, id -> new Ageing.Listed(since)).hosts().get(0).limit(), 1e-9);
+        assertEquals(
+                16, weigh(warmed, id -> new Ageing.Listed(since)).hosts().get(0).limit(), 1e-9);
         Host careful = new Host(1, since, NOW - 100, 40, 20_000, 2, 0, false);
-        assertTrue("but it may lower it", weigh(careful, id -> new Ageing.Listed(since)).hosts().get(0).limit() < 3);
+        assertTrue(
+                "but it may lower it",
+                weigh(careful, id -> new Ageing.Listed(since)).hosts().get(0).limit() < 3);
     }
 
     @Test
@@ -83,6 +96,10 @@
         Knowledge k = new Knowledge("a", NOW, 9, List.of(), List.of(), new Origin(NOW, 40, 500, 9));
         assertEquals(15, ageing.weigh(k, NOW, LISTED).origin().perSecond(), 1e-9);
         Knowledge low = new Knowledge("a", NOW, 9, List.of(), List.of(), new Origin(NOW, 40, 3, 9));
-        assertEquals("a low one is believed", 3, ageing.weigh(low, NOW, LISTED).origin().perSecond(), 1e-9);
+        assertEquals(
+                "a low one is believed",
+                3,
+                ageing.weigh(low, NOW, LISTED).origin().perSecond(),
+                1e-9);
     }
 }
--- a/knowledge/src/test/java/baymoor/knowledge/policy/MergePropertiesTest.java
+++ b/knowledge/src/test/java/baymoor/knowledge/policy/MergePropertiesTest.java
@@ -27,14 +27,34 @@
     Arbitrary<Knowledge> knowledge() {
         Arbitrary<Long> times = Arbitraries.longs().between(0, 3);
         Arbitrary<Double> figures = Arbitraries.doubles().between(0, 2).ofScale(1);
-        Arbitrary<Host> host = Combinators.combine(Arbitraries.longs().between(1, 4), times, times, figures, figures,
-                figures, Arbitraries.doubles().between(0, 1).ofScale(1), Arbitraries.of(true, false)).as(Host::new);
-        Arbitrary<Key> key = Combinators.combine(Arbitraries.longs().between(-2, 2), times, figures, figures).as(Key::new);
-        Arbitrary<Origin> origin = Combinators.combine(times, figures, figures, figures).as(Origin::new);
-        return Combinators.combine(Arbitraries.of("a", "b", "a+c"), times, times, host.list().ofMaxSize(4),
-                key.list().ofMaxSize(4), origin.injectNull(0.3)).as((name, at, up, hosts, keys, o) -> new Knowledge(name, at,
-                        up, distinct(hosts, Comparator.comparingLong(Host::id)),
-                        distinct(keys, Comparator.comparingLong(Key::key)), o));
+        Arbitrary<Host> host = Combinators.combine(
+                        Arbitraries.longs().between(1, 4),
+                        times,
+                        times,
+                        figures,
+                        figures,
+                        figures,
+                        Arbitraries.doubles().between(0, 1).ofScale(1),
+                        Arbitraries.of(true, false))
+                .as(Host::new);
+        Arbitrary<Key> key = Combinators.combine(Arbitraries.longs().between(-2, 2), times, figures, figures)
+                .as(Key::new);
+        Arbitrary<Origin> origin =
+                Combinators.combine(times, figures, figures, figures).as(Origin::new);
+        return Combinators.combine(
+                        Arbitraries.of("a", "b", "a+c"),
+                        times,
+                        times,
+                        host.list().ofMaxSize(4),
+                        key.list().ofMaxSize(4),
+                        origin.injectNull(0.3))
+                .as((name, at, up, hosts, keys, o) -> new Knowledge(
+                        name,
+                        at,
+                        up,
+                        distinct(hosts, Comparator.comparingLong(Host::id)),
+                        distinct(keys, Comparator.comparingLong(Key::key)),
+                        o));
     }
 
     private static <T> List<T> distinct(List<T> items, Comparator<T> order) {
@@ -55,8 +75,8 @@
     }
 
     @Property(seed = SEED)
-    void itIsAssociative(@ForAll("knowledge") Knowledge a, @ForAll("knowledge") Knowledge b,
-            @ForAll("knowledge") Knowledge c) {
+    void itIsAssociative(
+            @ForAll("knowledge") Knowledge a, @ForAll("knowledge") Knowledge b, @ForAll("knowledge") Knowledge c) {
         assertEquals(Merge.of(a, Merge.of(b, c)), Merge.of(Merge.of(a, b), c));
     }
 
