--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# build, test, lint, run, demo: what the README says, in one word each.
-.PHONY: build test lint run demo clean
+# build, test, format, lint, run, demo: what the README says, in one word each.
+.PHONY: build test format lint run demo clean
 
 build:
 	mvn -q -DskipTests package
@@ -7,8 +7,13 @@
 test:
 	mvn -B verify
 
-# The compiler with every warning on; a warning is an error here.
+# Writes every source file in the project's format.
+format:
+	mvn -q spotless:apply
+
+# The format, and the compiler with every warning on; a warning is an error here.
 lint:
+	mvn -q spotless:check
 	mvn -q -DskipTests -Dmaven.compiler.failOnWarning=true clean package
 
 # Needs ROUTER_CONFIG in the environment; the flags are those of deploy/balancer.toml.
