--- a/balancer/src/main/java/baymoor/assembly/Assembly.java
+++ b/balancer/src/main/java/baymoor/assembly/Assembly.java
@@ -3,8 +3,11 @@
 import baymoor.config.Settings;
 import baymoor.counters.Counters;
 import baymoor.dispatch.Dispatcher;
+import baymoor.inventory.CallPacing;
 import baymoor.inventory.Discovery;
 import baymoor.inventory.Inventory;
+import baymoor.inventory.ListConfirmation;
+import baymoor.inventory.ListExchange;
 import baymoor.link.Dialer;
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
@@ -20,6 +23,7 @@
 import java.util.function.LongUnaryOperator;
 import java.util.stream.Collectors;
 import merlinstep.Decisions;
+import merlinstep.Decisions.ServerList;
 import org.json.JSONException;
 
 /**
@@ -71,6 +75,7 @@
     private final Inventory inventory;
     private final Discovery discovery;
     private final Peers peers;
+    private final ListExchange exchange;
     private Runnable toServe;
 
     public Assembly(Settings settings, Surroundings around) {
@@ -106,21 +111,54 @@
                 module.limits(),
                 half,
                 dispatcher);
-        discovery = new Discovery(settings.discovery(), around.dialer(), time, inventory, counters, list -> {
+        boolean asked = module.membership() == Decisions.Membership.ASK;
+        boolean mayAsk =
+                asked && module.limits().mayTellPeers() && settings.peers().size() == module.balancers();
+        ListConfirmation confirmation =
+                asked ? ListConfirmation.from(time.now(), mayAsk) : ListConfirmation.notNeeded();
+        Consumer<ServerList> hearsList = list -> {
             dispatcher.listed(list);
             inventory.forget(south::uses);
             ready();
-        });
+        };
+        discovery = new Discovery(
+                settings.discovery(),
+                around.dialer(),
+                time,
+                inventory,
+                counters,
+                new CallPacing(module.balancers(), module.index(), module.seed()),
+                confirmation,
+                hearsList);
         peers = new Peers(
                 settings.peers(),
                 settings.peerListen(),
                 settings.peersAll(),
                 around.peers(),
                 counters,
-                dispatcher::heard);
+                this::heardFrom);
+        exchange = new ListExchange(
+                module.index(),
+                mayAsk ? module.balancers() : 1,
+                ~module.seed(),
+                time,
+                inventory,
+                confirmation,
+                counters,
+                peers::tell,
+                hearsList);
+        discovery.whenUnwatched(exchange::seek);
+        dispatcher.beginOnlyWhile(() -> confirmation.current(time.now()));
         dispatcher.connect(north, south, discovery, peers);
     }
 
+    /** What is about lists stays here; a datagram of any other kind is the decisions' to read or pass over. */
+    private void heardFrom(int peer, byte[] content) {
+        if (!exchange.heard(peer, content)) {
+            dispatcher.heard(peer, content);
+        }
+    }
+
     private static int half(Settings settings) {
         return (settings.sockets() - OTHER_DESCRIPTORS) / 2;
     }
@@ -155,6 +193,7 @@
             discovery.attend(settings.module().rules().drainGraceMicros());
             time.after(FIRST_LIST_MICROS, this::ready);
         } else {
+            exchange.seek();
             ready();
         }
     }
--- a/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
+++ b/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import merlinstep.Decisions;
 import merlinstep.Decisions.Action;
@@ -78,6 +79,8 @@
     private South south;
     private Discovery discovery;
     private Peers peers;
+    /** Whether the list held may still be used. */
+    private BooleanSupplier listCurrent = () -> true;
 
     public Dispatcher(
             Decisions decisions,
@@ -102,11 +105,20 @@
         peers = others;
     }
 
+    /** Attempts begin only while this holds; requests are turned away at once meanwhile. */
+    public void beginOnlyWhile(BooleanSupplier condition) {
+        listCurrent = condition;
+    }
+
     @Override
     public void taken(long ticket, Taken t) {
         String id = Long.toString(ticket);
         requests.put(id, new Open(ticket, t));
         ids.add(t.id());
+        if (!listCurrent.getAsBoolean()) {
+            end(id, new Answer.BackOff(0));
+            return;
+        }
         deliver(new Request(
                 id,
                 t.requestClass(),
@@ -272,6 +284,10 @@
                 limits.secondCopies() || Invariant.check(r.out == 0, "no two relays of one request are out together");
         int attempt = r.attempts++;
         r.out++;
+        if (r.out == 1 && !r.done && !listCurrent.getAsBoolean()) {
+            // Answered now: each further attempt would be turned away like this one.
+            end(a.request(), r.ranMicros == Long.MAX_VALUE ? new Answer.BackOff(0) : new Answer.Failed());
+        }
         if (r.done || !alone || attempt >= limits.maxAttempts() || now >= r.taken.deadlineMicros()) {
             Reply unsent = new Reply(Outcome.NOT_SENT, null, 0, new double[0], false);
             time.after(0, () -> relayEnded(a.request(), attempt, a.server(), unsent, 0));
@@ -303,7 +319,7 @@
                             case KEYED -> time.now() < r.ranMicros + kind.windowMicros();
                             case UNSAFE -> false;
                         };
-        return harmless && !r.done && north.waits(r.ticket);
+        return harmless && !r.done && north.waits(r.ticket) && listCurrent.getAsBoolean();
     }
 
     private void end(String id, Answer answer) {
--- /dev/null
+++ b/balancer/src/main/java/baymoor/inventory/CallPacing.java
@@ -0,0 +1,105 @@
+package baymoor.inventory;
+
+import java.util.Random;
+
+/**
+ * Says how long to wait before the next call for a watch, so that all balancers of the tier together call discovery no faster
+ * than it can answer. What makes one balancer call, an outage or a mass restart, makes all call; and a discovery that works
+ * calls off one after another stays overbooked for as long as calls come faster than that.
+ *
+ * <p>Calls are spread over a window that is proportional to the size of the tier. A caller's turn in the window is by its
+ * number, with jitter inside it, so that callers which begin together come evenly spaced, and it moves on each time, so that
+ * nobody is always last. A call that discovery turned down doubles the window, an answer resets it. Knows neither clock nor
+ * socket.
+ */
+public final class CallPacing {
+
+    /** How a call ended, as far as the next one's time turns on it. */
+    public enum End {
+        /** A watch is up. */
+        ANSWERED,
+        /** No connection: discovery is down, and calls in vain cost it nothing. */
+        REFUSED,
+        /** An answer other than the list, or a reset: too many call, or discovery is down, which can't be told apart. */
+        TURNED_DOWN,
+        /** No word at all: the connection is dead, which says nothing of discovery. */
+        SILENT
+    }
+
+    /**
+     * Each caller's part of the first window: 50 calls a second by all. A service that reads a list from memory does several
+     * hundred; one that does fewer than 50 says so soon, at the price of some calls.
+     */
+    private static final long FIRST_PART_MICROS = 20_000;
+    /** The window doubles three times at most, to six calls a second by all: as slow as that no service is known to be. */
+    private static final int MOST_DOUBLINGS = 3;
+    /**
+     * The longest first window, however large the tier: what is listed counts as told after 6 s, which leaves time for the
+     * longest wait of a call (3 s are known of) and a second for the answer.
+     */
+    private static final long MOST_FIRST_MICROS = 2_000_000;
+    /** How long a call on a good connection takes where nobody else calls, with a margin for a slow start. */
+    private static final long UNHURRIED_MICROS = 1_000_000;
+    /** No call is taken for dead sooner: half of what a change has to be known in is left after the silence before it. */
+    private static final long FIRST_SILENCE_MICROS = 2_000_000;
+    /** Longer than any discovery lets a call wait for its turn (2 and 3 s are known of). */
+    private static final long MOST_QUEUE_MICROS = 3_200_000;
+
+    private final int callers;
+    private final Random random;
+    private int turn;
+    private int doublings;
+
+    /**
+     * @param callers balancers of the tier
+     * @param number  this one's number among them
+     */
+    public CallPacing(int callers, int number, long seed) {
+        this.callers = callers;
+        this.turn = number;
+        random = new Random(seed);
+    }
+
+    /** Takes in how a call ended. */
+    public void ended(End end) {
+        switch (end) {
+            case ANSWERED, REFUSED -> doublings = 0;
+            case TURNED_DOWN -> doublings = Math.min(MOST_DOUBLINGS, doublings + 1);
+            case SILENT -> {}
+        }
+    }
+
+    /** The time to wait from now on to this balancer's turn in the present window. */
+    public long pauseMicros() {
+        double within = (turn + random.nextDouble()) / callers;
+        // A step that is prime to the number of callers goes round all turns, and far from the last one each time.
+        turn = (turn + step()) % callers;
+        return (long) (within * windowMicros());
+    }
+
+    /** Over how long the calls of all are spread now; one that is alone waits for nobody. */
+    long windowMicros() {
+        return Math.min(MOST_FIRST_MICROS, (callers - 1) * FIRST_PART_MICROS) << doublings;
+    }
+
+    private int step() {
+        int step = Math.max(1, (int) (callers * 0.382));
+        while (greatestCommonDivisor(step, callers) > 1) {
+            step++;
+        }
+        return step;
+    }
+
+    private static int greatestCommonDivisor(int a, int b) {
+        return b == 0 ? a : greatestCommonDivisor(b, a % b);
+    }
+
+    /**
+     * After how long without an answer a call is taken for dead, so that a second one goes out beside it. In a large tier, and
+     * after one was turned down, a call may just be waiting its turn, and a second one would only make the queue longer.
+     */
+    public long deadAfterMicros() {
+        long queue = doublings > 0 ? MOST_QUEUE_MICROS : UNHURRIED_MICROS + callers * FIRST_PART_MICROS;
+        return Math.max(FIRST_SILENCE_MICROS, Math.min(MOST_QUEUE_MICROS, queue));
+    }
+}
--- a/balancer/src/main/java/baymoor/inventory/Discovery.java
+++ b/balancer/src/main/java/baymoor/inventory/Discovery.java
@@ -33,12 +33,9 @@
     /** Longer than a discovery lets a call wait (2 and 3 s are known of), so that its own word comes first. */
     private static final long ANSWER_MICROS = 4_000_000;
     /**
-     * After so long without an answer a second call for the same watch goes out: the first may be on a connection that is dead,
-     * and give up its place in turn only if the second is quicker. What discovery has counts as told 6 s after it could be
-     * reached, whatever became of a call; this, the silence before it and the decisions' first pause leave a second for the answer.
+     * A call that is taken for dead ({@link CallPacing#deadAfterMicros}) gets a second one beside it, and gives up its place in
+     * turn only if that is quicker.
      */
-    private static final long SECOND_CALL_MICROS = 2_000_000;
-
     private static final int MOST_CALLS = 2;
     /** Guards against a cut link, on which a watch just falls silent: an empty line is due every 2 s. */
     private static final long SILENCE_MICROS = 2_500_000;
@@ -63,6 +60,9 @@
     private final Inventory inventory;
     private final Counters counters;
     private final Consumer<ServerList> events;
+    private final CallPacing pacing;
+    private final ListConfirmation confirmation;
+    private Runnable unwatched = () -> {};
     /** The watch that has answered, if any, and calls for another, the oldest first. */
     private Call watch;
 
@@ -88,7 +88,11 @@
             Time time,
             Inventory inventory,
             Counters counters,
+            CallPacing pacing,
+            ListConfirmation confirmation,
             Consumer<ServerList> events) {
+        this.pacing = pacing;
+        this.confirmation = confirmation;
         this.address = address;
         this.dialer = dialer;
         this.time = time;
@@ -97,7 +101,12 @@
         this.events = events;
     }
 
-    /** Begins a watch from the version held, in the place of the one there is, or ends that. */
+    /** Has a task run each time the watch has ended or fallen silent. */
+    public void whenUnwatched(Runnable task) {
+        unwatched = task;
+    }
+
+    /** Begins a watch from the version held, once it is this balancer's turn, in the place of the one there is, or ends that. */
     public void watch(boolean on) {
         ordered = on;
         if (!on) {
@@ -105,8 +114,18 @@
             if (watch != null) {
                 watch.abandon();
                 watch = null;
+                lost();
             }
         } else if (!calling()) {
+            callInTurn();
+        }
+    }
+
+    private void callInTurn() {
+        long pause = pacing.pauseMicros();
+        if (pause > 0) {
+            tryAfter(pause);
+        } else {
             call();
         }
     }
@@ -180,7 +199,7 @@
 
     private void callAgainLater() {
         if (secondCall == null && !calls.isEmpty() && calls.size() < MOST_CALLS) {
-            secondCall = time.after(lastCallMicros + SECOND_CALL_MICROS - time.now(), this::call);
+            secondCall = time.after(lastCallMicros + pacing.deadAfterMicros() - time.now(), this::call);
         }
     }
 
@@ -192,12 +211,24 @@
             watch.abandon();
         }
         watch = call;
+        pacing.ended(CallPacing.End.ANSWERED);
+    }
+
+    private void lost() {
+        confirmation.watchLost();
+        unwatched.run();
     }
 
     private void failed(Call call) {
         counters.add(Count.INVENTORY_FAILED);
         calls.remove(call);
-        watch = call == watch ? null : watch;
+        if (call == watch) {
+            watch = null;
+            lost();
+        } else {
+            pacing.ended(call.ending());
+            confirmation.failed(call.ending(), call.since, time.now());
+        }
         if (call == asked && attending()) {
             askAgain = time.after(pause(call.since), this::ask);
         } else if (calling()) {
@@ -206,7 +237,7 @@
             tryAfter(pause(call.since));
         } else if (moves > 0 && moves < MOST_MOVES) {
             moves++;
-            tryAfter(MOVE_AGAIN_MICROS);
+            tryAfter(Math.max(MOVE_AGAIN_MICROS, pacing.pauseMicros()));
         } else if (!call.silent) {
             moves = 0;
             secondCall = cancelled(secondCall);
@@ -221,6 +252,7 @@
 
     /** The watch says nothing any more. It is kept until another one answers, as an agent may have nothing to tell from. */
     private void silent(Call call) {
+        lost();
         if (calling()) {
             return;
         }
@@ -256,6 +288,10 @@
         private boolean silent;
 
         private boolean over;
+        private boolean opened;
+        private boolean timedOut;
+        /** Whether it has told what there was, so that all later signs of life say that nothing is missing. */
+        private boolean complete;
 
         Call(String target, boolean watching) {
             this.target = target;
@@ -267,6 +303,7 @@
 
         @Override
         public void opened() {
+            opened = true;
             String host = at.getAddress().getHostAddress() + ":" + at.getPort();
             link.write(RequestWriter.request("GET", target, host, Map.of(), null));
         }
@@ -306,6 +343,10 @@
             if (watching) {
                 fail();
             } else if (tell(body.toString(StandardCharsets.UTF_8))) {
+                confirmation.complete(since);
+                if (watch != null) {
+                    watch.complete = true;
+                }
                 abandon();
             } else {
                 fail();
@@ -324,6 +365,7 @@
         public void spoilt() {
             if (!over) {
                 counters.add(Count.INVENTORY_BAD);
+                complete = false;
                 ask();
             }
         }
@@ -333,6 +375,9 @@
         public void alive() {
             if (!over) {
                 silent = false;
+                if (watching && complete) {
+                    confirmation.watchAlive(time.now());
+                }
                 listenOn();
             }
         }
@@ -349,9 +394,11 @@
                 if (list != null) {
                     events.accept(list);
                 }
-                return !inventory.wantsWhole();
+                complete = !inventory.wantsWhole();
+                return complete;
             } catch (JSONException e) {
                 counters.add(Count.INVENTORY_BAD);
+                complete = false;
                 return false;
             }
         }
@@ -361,10 +408,19 @@
                 Discovery.this.silent(this);
                 listenOn();
             } else {
+                timedOut = true;
                 fail();
             }
         }
 
+        /** How a call that has failed ended. */
+        CallPacing.End ending() {
+            if (timedOut) {
+                return CallPacing.End.SILENT;
+            }
+            return opened ? CallPacing.End.TURNED_DOWN : CallPacing.End.REFUSED;
+        }
+
         @Override
         public void written() {
             // Nothing turns on when a call has left.
--- a/balancer/src/main/java/baymoor/inventory/Inventory.java
+++ b/balancer/src/main/java/baymoor/inventory/Inventory.java
@@ -8,10 +8,13 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongPredicate;
 import java.util.function.LongUnaryOperator;
 import merlinstep.Decisions.ListKind;
@@ -29,7 +32,12 @@
 public final class Inventory {
 
     /** A listed host, as south needs it. */
-    public record Entry(long id, InetSocketAddress address, String kind, State state) {}
+    public record Entry(long id, InetSocketAddress address, String kind, State state) {
+
+        private Entry in(State other) {
+            return new Entry(id, address, kind, state == State.RUNNING ? other : state);
+        }
+    }
 
     private static final int LONGEST_NAME = 256;
     /** Older whole lists in a row, with nothing newer between, after which the service itself has begun anew. */
@@ -38,6 +46,12 @@
     private final LongUnaryOperator sinceMillisToMicros;
     private final Counters counters;
     private final Map<Long, Entry> entries = new HashMap<>();
+    /** What discovery said last of each host in {@link #entries}. */
+    private final Map<Long, Server> servers = new HashMap<>();
+    /** Hosts that other balancers' word has stopped, until a list of this version or a later one says what holds. */
+    private final Set<Long> stopped = new HashSet<>();
+
+    private long stoppedVersion;
     private long version;
     private long spoiltVersion = -1;
     private int older;
@@ -55,7 +69,60 @@
 
     /** A host once listed, in its last state, or null. */
     public Entry entry(long id) {
-        return entries.get(id);
+        Entry entry = entries.get(id);
+        return entry != null && stopped.contains(id) ? entry.in(State.DRAINING) : entry;
+    }
+
+    /** Tags of the hosts that run. */
+    List<Integer> running() {
+        List<Integer> tags = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            if (entry(entry.id()).state() == State.RUNNING) {
+                tags.add(ListMessage.tag(entry.id()));
+            }
+        }
+        return tags;
+    }
+
+    /**
+     * Takes another balancer's word of which hosts run by its list. It stops the others here and brings back nobody: only
+     * discovery's own word does, by a list that is not older.
+     *
+     * @param tags    {@link ListMessage#tag} of each
+     * @param asOf the version of that list
+     * @return what there is now, or null where nothing has changed
+     */
+    ServerList stopAllBut(Set<Integer> tags, long asOf) {
+        if (asOf < version) {
+            return null;
+        }
+        boolean changed = false;
+        for (Entry entry : entries.values()) {
+            boolean runs = entry.state() == State.RUNNING;
+            if (runs && !tags.contains(ListMessage.tag(entry.id())) && stopped.add(entry.id())) {
+                changed = true;
+            }
+        }
+        if (!changed) {
+            return null;
+        }
+        stoppedVersion = Math.max(stoppedVersion, asOf);
+        counters.add(Count.INVENTORY_STOPPED);
+        return new ServerList(ListKind.LAST_KNOWN, version, listed());
+    }
+
+    /** All hosts that are not gone, as discovery and other balancers say. */
+    private List<Server> listed() {
+        return servers.values().stream()
+                .filter(s -> s.state() != State.GONE)
+                .map(this::stoppedOrNot)
+                .toList();
+    }
+
+    private Server stoppedOrNot(Server s) {
+        return s.state() != State.RUNNING || !stopped.contains(s.id())
+                ? s
+                : new Server(s.id(), s.size(), s.kind(), State.DRAINING, s.zone(), s.startedMicros(), s.cell());
     }
 
     /**
@@ -64,6 +131,8 @@
      */
     public void forget(LongPredicate inUse) {
         entries.values().removeIf(e -> e.state() == State.GONE && !inUse.test(e.id()));
+        servers.keySet().retainAll(entries.keySet());
+        stopped.retainAll(entries.keySet());
     }
 
     /** Whether what came last could not be taken in full, so that the whole list is to be asked for. */
@@ -144,9 +213,22 @@
         if (kind != ListKind.CHANGES) {
             // Who is absent from a whole list is gone; its entry stays, since relays may still be queued for it.
             entries.replaceAll((id, e) -> new Entry(id, e.address(), e.kind(), State.GONE));
+            this.servers.clear();
         }
         entries.putAll(changed);
-        return new ServerList(kind, index, List.copyOf(servers.values()));
+        this.servers.putAll(servers);
+        return told(kind, servers);
+    }
+
+    /** What is told of a list that was taken: where it lifts other balancers' word, all that holds now. */
+    private ServerList told(ListKind kind, Map<Long, Server> came) {
+        boolean lifts = !stopped.isEmpty() && version >= stoppedVersion;
+        if (lifts) {
+            stopped.clear();
+            return new ServerList(kind == ListKind.LAST_KNOWN ? kind : ListKind.WHOLE, version, listed());
+        }
+        List<Server> servers = came.values().stream().map(this::stoppedOrNot).toList();
+        return new ServerList(kind, version, servers);
     }
 
     private Server server(JSONObject e) {
--- a/balancer/src/test/java/baymoor/inventory/InventoryTest.java
+++ b/balancer/src/test/java/baymoor/inventory/InventoryTest.java
@@ -38,6 +38,8 @@
             time,
             inventory,
             counters,
+            new CallPacing(1, 0, 1),
+            ListConfirmation.notNeeded(),
             told::add);
 
     private static String entry(String name, String status, long since) {
