--- /dev/null
+++ b/balancer/src/test/java/baymoor/inventory/CallPacingTest.java
@@ -0,0 +1,116 @@
+package baymoor.inventory;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import baymoor.inventory.CallPacing.End;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.Test;
+
+public class CallPacingTest {
+
+    private static final int[] TIERS = {2, 3, 7, 20, 100, 110, 640};
+
+    private static List<CallPacing> tier(int callers) {
+        return IntStream.range(0, callers)
+                .mapToObj(i -> new CallPacing(callers, i, 31L * i))
+                .toList();
+    }
+
+    private static List<Long> pauses(List<CallPacing> tier) {
+        return tier.stream().map(CallPacing::pauseMicros).sorted().toList();
+    }
+
+    @Test
+    public void oneThatIsAloneNeverWaits() {
+        CallPacing pacing = new CallPacing(1, 0, 7);
+        for (int i = 0; i < 9; i++) {
+            assertEquals(0, pacing.pauseMicros());
+            pacing.ended(End.TURNED_DOWN);
+        }
+    }
+
+    /** Those that begin together come one after another, in the first round and in all later ones. */
+    @Test
+    public void aTierThatBeginsTogetherIsSpacedEvenly() {
+        for (int callers : TIERS) {
+            List<CallPacing> tier = tier(callers);
+            for (int round = 0; round < 8; round++) {
+                long window = tier.get(0).windowMicros();
+                List<Long> pauses = pauses(tier);
+                for (int slot = 0; slot < callers; slot++) {
+                    long pause = pauses.get(slot);
+                    assertTrue(
+                            callers + " callers, turn " + slot + ": " + pause,
+                            pause >= slot * window / callers - 1 && pause <= (slot + 1) * window / callers + 1);
+                }
+                tier.forEach(pacing -> pacing.ended(End.TURNED_DOWN));
+            }
+        }
+    }
+
+    @Test
+    public void nobodyIsAlwaysLast() {
+        for (int callers : new int[] {20, 110, 640}) {
+            for (CallPacing pacing : tier(callers)) {
+                List<Long> pauses = new ArrayList<>();
+                for (int round = 0; round < 12; round++) {
+                    pauses.add(pacing.pauseMicros());
+                }
+                double mean = pauses.stream().mapToLong(p -> p).average().orElse(0) / pacing.windowMicros();
+                assertTrue(callers + " callers, mean " + mean, mean > 0.3 && mean < 0.7);
+            }
+        }
+    }
+
+    @Test
+    public void theFirstWindowGrowsWithTheTierAndLeavesTimeForAnAnswer() {
+        long before = 0;
+        for (int callers : TIERS) {
+            long window = new CallPacing(callers, 0, 1).windowMicros();
+            assertTrue(window >= before && window <= 2_000_000);
+            before = window;
+        }
+    }
+
+    @Test
+    public void callsTurnedDownDoubleTheWindowUpToABoundAndAnAnswerResetsIt() {
+        CallPacing pacing = new CallPacing(100, 3, 1);
+        long first = pacing.windowMicros();
+        for (int doublings : new int[] {1, 2, 3, 3, 3}) {
+            pacing.ended(End.TURNED_DOWN);
+            assertEquals(first << doublings, pacing.windowMicros());
+        }
+        pacing.ended(End.SILENT);
+        assertEquals("a dead connection says nothing of discovery", first << 3, pacing.windowMicros());
+        pacing.ended(End.ANSWERED);
+        assertEquals(first, pacing.windowMicros());
+        pacing.ended(End.TURNED_DOWN);
+        pacing.ended(End.REFUSED);
+        assertEquals("who takes no connection has no queue", first, pacing.windowMicros());
+    }
+
+    /** Discovery is known to let calls wait 2 and 3 s: what waits its turn there is not dead. */
+    @Test
+    public void aCallIsTakenForDeadLaterWhereItMayJustBeWaitingItsTurn() {
+        assertEquals(2_000_000, new CallPacing(1, 0, 1).deadAfterMicros());
+        assertEquals(2_000_000, new CallPacing(20, 0, 1).deadAfterMicros());
+        for (int callers : new int[] {110, 640}) {
+            assertTrue(new CallPacing(callers, 0, 1).deadAfterMicros() > 3_000_000);
+        }
+        CallPacing overbooked = new CallPacing(5, 0, 1);
+        overbooked.ended(End.TURNED_DOWN);
+        assertTrue(overbooked.deadAfterMicros() > 3_000_000);
+    }
+
+    @Test
+    public void theSameSeedGivesTheSamePauses() {
+        CallPacing one = new CallPacing(100, 9, 5);
+        CallPacing other = new CallPacing(100, 9, 5);
+        for (int i = 0; i < 50; i++) {
+            assertEquals(one.pauseMicros(), other.pauseMicros());
+        }
+    }
+}
--- /dev/null
+++ b/balancer/src/test/java/baymoor/inventory/ListMessageTest.java
@@ -0,0 +1,88 @@
+package baymoor.inventory;
+
+import static org.junit.Assert.assertArrayEquals;
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertNull;
+import static org.junit.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.Test;
+
+public class ListMessageTest {
+
+    private static List<Integer> tags(int count) {
+        return IntStream.range(0, count).map(i -> i * 0x9e3779b9).boxed().toList();
+    }
+
+    @Test
+    public void whatIsWrittenIsReadAgain() {
+        for (ListMessage message : List.of(
+                new ListMessage.Question(-7, 1234),
+                new ListMessage.NoAnswer(Long.MIN_VALUE),
+                new ListMessage.Answer(5, 41, 0, 0, 1, List.of()),
+                new ListMessage.Answer(5, 41, 99, 1, 2, tags(3)))) {
+            assertEquals(message, ListMessage.decode(message.encode()));
+        }
+    }
+
+    @Test
+    public void aListIsSplitIntoDatagramsThatFit() {
+        for (int hosts : new int[] {0, 1, 58, 59, 200, 1_856}) {
+            List<ListMessage.Answer> parts = ListMessage.parts(1, 2, 3, tags(hosts));
+            assertEquals(
+                    tags(hosts),
+                    parts.stream().flatMap(p -> p.running().stream()).toList());
+            for (ListMessage.Answer part : parts) {
+                assertTrue(part.encode().length <= 256);
+                assertEquals(part, ListMessage.decode(part.encode()));
+            }
+        }
+        assertEquals("too long a list is no answer", List.of(), ListMessage.parts(1, 2, 3, tags(1_857)));
+    }
+
+    /** Older programs look at the first byte only, and at nothing shorter than their own message of 45 bytes. */
+    @Test
+    public void messagesOfTheDecisionsAreNoneOfThese() {
+        byte[] figures = new byte[45];
+        figures[0] = 1;
+        assertFalse(ListMessage.concerns(figures));
+        assertFalse(ListMessage.concerns(new byte[0]));
+        assertTrue(ListMessage.concerns(new ListMessage.NoAnswer(1).encode()));
+    }
+
+    @Test
+    public void whatNobodySendsIsNotRead() {
+        byte[] answer = new ListMessage.Answer(5, 41, 99, 1, 2, tags(3)).encode();
+        for (int length = 0; length < answer.length; length++) {
+            byte[] cut = java.util.Arrays.copyOf(answer, length);
+            assertEquals("cut to " + length, length >= 23 && (length - 23) % 4 == 0, ListMessage.decode(cut) != null);
+        }
+        assertNull(ListMessage.decode(new ListMessage.Answer(5, 41, 99, 2, 2, tags(3)).encode()));
+        assertNull(ListMessage.decode(new ListMessage.Answer(5, 41, 99, -1, 2, tags(3)).encode()));
+        assertNull(ListMessage.decode(new ListMessage.Answer(5, 41, 99, 0, 2, tags(3)).encode()));
+        assertNull(ListMessage.decode(new ListMessage.Answer(5, 41, -1, 0, 1, tags(3)).encode()));
+        assertNull(ListMessage.decode(new ListMessage.Answer(5, -1, 0, 0, 1, tags(3)).encode()));
+        assertNull(ListMessage.decode(new ListMessage.Answer(5, 1, 0, 0, 33, tags(58)).encode()));
+        assertNull(ListMessage.decode(new ListMessage.Answer(5, 1, 0, 0, 1, tags(59)).encode()));
+        assertNull(ListMessage.decode(new ListMessage.Question(5, -1).encode()));
+    }
+
+    @Test
+    public void anyBytesAreReadOrNotAndWhatIsReadIsWrittenTheSame() {
+        Random random = new Random(20261202);
+        for (int i = 0; i < 200_000; i++) {
+            byte[] bytes = new byte[random.nextInt(300)];
+            random.nextBytes(bytes);
+            if (bytes.length > 0 && random.nextInt(4) > 0) {
+                bytes[0] = (byte) (0x50 + random.nextInt(5));
+            }
+            ListMessage message = ListMessage.decode(bytes);
+            if (message != null) {
+                assertArrayEquals(bytes, message.encode());
+            }
+        }
+    }
+}
