--- a/balancer/src/main/java/baymoor/inventory/CallPacing.java
+++ b/balancer/src/main/java/baymoor/inventory/CallPacing.java
@@ -96,10 +96,11 @@
 
     /**
      * After how long without an answer a call is taken for dead, so that a second one goes out beside it. In a large tier, and
-     * after one was turned down, a call may just be waiting its turn, and a second one would only make the queue longer.
+     * after one was turned down, a call may just be waiting its turn, and a second one would only make the queue longer. The
+     * wait in a tier is reckoned for a discovery half as fast as the first window supposes.
      */
     public long deadAfterMicros() {
-        long queue = doublings > 0 ? MOST_QUEUE_MICROS : UNHURRIED_MICROS + callers * FIRST_PART_MICROS;
+        long queue = doublings > 0 ? MOST_QUEUE_MICROS : UNHURRIED_MICROS + 2 * callers * FIRST_PART_MICROS;
         return Math.max(FIRST_SILENCE_MICROS, Math.min(MOST_QUEUE_MICROS, queue));
     }
 }
--- a/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
+++ b/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
@@ -234,4 +234,74 @@
                 heard.stream().filter(e -> e instanceof TimerFired).count() > 2);
         assertTrue(counters.get(Count.DECISION_FAILURES) > 2);
     }
+
+    @Test
+    public void whileTheListMayNotBeUsedARequestIsTurnedAwayAtOnce() {
+        dispatcher.beginOnlyWhile(() -> false);
+        client.in(GET);
+        assertEquals("-BUSY\r\n", client.takeOut());
+        time.pass(2_000_000);
+        assertEquals("the decisions never hear of it", List.of(), heard);
+        assertEquals(1, counters.get(Count.REFUSED));
+    }
+
+    /** Danger: each further attempt would be turned away as well, and the client wait for nothing. */
+    @Test
+    public void anAttemptThatIsOrderedWhileTheListMayNotBeUsedEndsTheRequest() {
+        boolean[] current = {true};
+        dispatcher.beginOnlyWhile(() -> current[0]);
+        orders = (event, sink) -> {
+            if (event instanceof Request r) {
+                sink.accept(new SetTimer(Long.parseLong(r.id()), 100_000));
+            } else if (event instanceof TimerFired t) {
+                sink.accept(new Send(Long.toString(t.token()), 1, 0));
+            }
+        };
+        client.in(GET);
+        current[0] = false;
+        time.pass(100_000);
+        assertEquals("-BUSY\r\n", client.takeOut());
+        assertEquals("[0 NOT_SENT done]", ends());
+        assertTrue(links.isEmpty());
+        assertEquals(0, counters.get(Count.ACTIONS_IGNORED));
+    }
+
+    @Test
+    public void whatMayHaveRunBeforeTheListBecameTooOldHasFailed() {
+        boolean[] current = {true};
+        dispatcher.beginOnlyWhile(() -> current[0]);
+        orders = (event, sink) -> {
+            if (event instanceof Request r) {
+                sink.accept(new Send(r.id(), 1, 0));
+            } else if (event instanceof AttemptEnded e && !e.done()) {
+                sink.accept(new Send(e.request(), 2, 0));
+            }
+        };
+        client.in(GET);
+        links.get(0).events.opened();
+        links.get(0).events.written();
+        current[0] = false;
+        links.get(0).events.closed();
+        time.pass(0);
+        String answer = client.takeOut();
+        assertTrue(answer, answer.startsWith("-") && !answer.startsWith("-BUSY"));
+        assertEquals("[0 RESET, 1 NOT_SENT done]", ends());
+        assertEquals(1, links.size());
+    }
+
+    @Test
+    public void anAttemptThatWaitedForAConnectionDoesNotBeginOnAListTooOld() {
+        boolean[] current = {true};
+        dispatcher.beginOnlyWhile(() -> current[0]);
+        orders = (event, sink) -> {
+            if (event instanceof Request r) {
+                sink.accept(new Send(r.id(), 1, 0));
+            }
+        };
+        client.in(GET);
+        current[0] = false;
+        links.get(0).events.opened();
+        assertEquals("", links.get(0).takeOut());
+        assertEquals("[0 NOT_SENT]", ends());
+    }
 }
--- /dev/null
+++ b/balancer/src/test/java/baymoor/inventory/DiscoveryTurnsTest.java
@@ -0,0 +1,184 @@
+package baymoor.inventory;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import baymoor.FakeLink;
+import baymoor.ManualTime;
+import baymoor.counters.Counters;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import merlinstep.Decisions.ListKind;
+import merlinstep.Decisions.ServerList;
+import org.junit.Test;
+
+/** What calls for the list and the watch tell the turns of calls and the confirmation of the list. */
+public class DiscoveryTurnsTest {
+
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String BUSY = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    private static final int BALANCERS = 100;
+    private static final long SECOND = 1_000_000;
+
+    private final ManualTime time = new ManualTime();
+    private final Counters counters = new Counters();
+    private final Inventory inventory = new Inventory(millis -> millis * 1000, counters);
+    private final ListConfirmation confirmation = ListConfirmation.from(time.now(), true);
+    private final List<ServerList> told = new ArrayList<>();
+    private final List<FakeLink> links = new ArrayList<>();
+    private int unwatched;
+    private final Discovery discovery = new Discovery(
+            new InetSocketAddress("127.0.0.1", 1),
+            (to, events) -> {
+                FakeLink link = new FakeLink();
+                link.events = events;
+                links.add(link);
+                return link;
+            },
+            time,
+            inventory,
+            counters,
+            new CallPacing(BALANCERS, 50, 1),
+            confirmation,
+            told::add);
+
+    public DiscoveryTurnsTest() {
+        discovery.whenUnwatched(() -> unwatched++);
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private static String list(long index) {
+        return chunk("{\"index\":" + index + ",\"snapshot\":true,\"endpoints\":[]}\n");
+    }
+
+    private FakeLink last() {
+        return links.get(links.size() - 1);
+    }
+
+    /** Orders a watch, and gives how long it was until the call went out. */
+    private long ordered() {
+        int before = links.size();
+        long since = time.now();
+        discovery.watch(true);
+        while (links.size() == before) {
+            time.pass(1_000);
+            assertTrue(time.now() - since < 60 * SECOND);
+        }
+        return time.now() - since;
+    }
+
+    private FakeLink watched() {
+        ordered();
+        last().events.opened();
+        last().in(HEAD + list(3));
+        return last();
+    }
+
+    @Test
+    public void aCallWaitsForItsTurnAndAnOrderMeanwhileMakesNoSecondOne() {
+        discovery.watch(true);
+        assertEquals("number 50 of 100", 0, links.size());
+        discovery.watch(true);
+        time.pass(2 * SECOND);
+        assertEquals(1, links.size());
+    }
+
+    @Test
+    public void aWatchThatIsNotWantedAnyMoreIsNotCalledFor() {
+        discovery.watch(true);
+        discovery.watch(false);
+        time.pass(10 * SECOND);
+        assertEquals(0, links.size());
+    }
+
+    @Test
+    public void callsTurnedDownComeLaterAndLater() {
+        List<Long> waits = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            waits.add(ordered());
+            last().events.opened();
+            last().in(BUSY);
+        }
+        assertTrue(waits.toString(), waits.get(0) <= 2 * SECOND);
+        double mean =
+                waits.subList(8, 40).stream().mapToLong(wait -> wait).average().orElse(0);
+        assertTrue(waits.toString(), mean > 6 * SECOND && mean < 10 * SECOND);
+    }
+
+    /** Discovery is known to let calls wait for 3 s, and a second call for the same watch would only make the queue longer. */
+    @Test
+    public void aCallThatMayBeWaitingItsTurnGetsNoSecondOneBesideIt() {
+        ordered();
+        last().events.opened();
+        time.pass(3 * SECOND);
+        assertEquals(1, links.size());
+        time.pass(SECOND / 2);
+        assertEquals("by now it is dead", 2, links.size());
+        assertFalse(links.get(0).closed);
+    }
+
+    @Test
+    public void aWatchConfirmsTheListOnceItHasToldIt() {
+        ordered();
+        last().events.opened();
+        last().in(HEAD);
+        assertFalse("headers tell nothing", confirmation.confirmed());
+        last().in(list(3));
+        assertTrue(confirmation.watched());
+        time.pass(2 * SECOND);
+        last().in(chunk("\n"));
+        assertEquals("an empty line says that nothing is missing", time.now(), confirmation.completeMicros());
+    }
+
+    @Test
+    public void aLineThatCannotBeReadConfirmsNothingUntilTheWholeListIsThere() {
+        FakeLink watch = watched();
+        long complete = confirmation.completeMicros();
+        time.pass(SECOND);
+        watch.in(chunk("nonsense\n") + chunk("\n"));
+        assertEquals(complete, confirmation.completeMicros());
+        long asked = time.now();
+        time.pass(SECOND);
+        last().events.opened();
+        last().in("HTTP/1.1 200 OK\r\nContent-Length: 42\r\n\r\n{\"index\":5,\"snapshot\":true,\"endpoints\":[]}");
+        assertEquals("as old as the question", asked, confirmation.completeMicros());
+        watch.in(chunk("\n"));
+        assertEquals(time.now(), confirmation.completeMicros());
+    }
+
+    @Test
+    public void aWatchThatEndsOrFallsSilentConfirmsNoMore() {
+        watched().events.closed();
+        assertFalse(confirmation.watched());
+        assertEquals(1, unwatched);
+        watched();
+        time.pass(2_600_000);
+        assertFalse(confirmation.watched());
+        assertEquals(2, unwatched);
+        assertEquals(ListKind.FAILED, told.get(told.size() - 1).kind());
+    }
+
+    @Test
+    public void whereDiscoveryTakesNoConnectionTheListHeldMayBeUsedOn() {
+        time.pass(5 * SECOND);
+        ordered();
+        last().events.closed();
+        time.pass(5 * SECOND);
+        assertTrue(confirmation.current(time.now()));
+    }
+
+    @Test
+    public void whereACallHasWaitedInVainDiscoveryIsUpAndTheListGetsTooOld() {
+        ordered();
+        last().events.opened();
+        time.pass(3 * SECOND);
+        last().in(BUSY);
+        time.pass(4 * SECOND);
+        assertFalse(confirmation.current(time.now()));
+    }
+}
