Emulator: how each call for a list ended is in the event log; calls may fail at once, and at a cost

A balancer that others may tell waits a tenth of a second for their first word before it takes clients.

--- a/balancer/src/main/java/baymoor/assembly/Assembly.java
+++ b/balancer/src/main/java/baymoor/assembly/Assembly.java
@@ -60,6 +60,11 @@
     private static final long LOOK_MICROS = 10_000;
     /** An agent answers at once, unless discovery is down: then the list of the configuration is the best there is. */
     private static final long FIRST_LIST_MICROS = 1_000_000;
+    /**
+     * Another balancer answers within milliseconds which hosts drain that run by the configuration's list. Where none
+     * does so soon, none knows, and the list of the configuration is the best there is.
+     */
+    private static final long FIRST_WORD_MICROS = 100_000;
     /**
      * For clients to take their last answer and end their side: a program that ends before resets connections on which
      * something came in unread. Within what {@link #END_MICROS} leaves before SIGKILL.
@@ -76,6 +81,9 @@
     private final Discovery discovery;
     private final Peers peers;
     private final ListExchange exchange;
+    /** Whether there are other balancers that can be asked which hosts run. */
+    private final boolean othersKnow;
+
     private Runnable toServe;
 
     public Assembly(Settings settings, Surroundings around) {
@@ -112,10 +120,12 @@
                 half,
                 dispatcher);
         boolean asked = module.membership() == Decisions.Membership.ASK;
-        boolean mayAsk =
-                asked && module.limits().mayTellPeers() && settings.peers().size() == module.balancers();
+        int others = asked && module.limits().mayTellPeers()
+                ? Math.min(settings.peers().size(), module.balancers())
+                : 0;
+        othersKnow = others > 1;
         ListConfirmation confirmation =
-                asked ? ListConfirmation.from(time.now(), mayAsk) : ListConfirmation.notNeeded();
+                asked ? ListConfirmation.from(time.now(), othersKnow) : ListConfirmation.notNeeded();
         Consumer<ServerList> hearsList = list -> {
             dispatcher.listed(list);
             inventory.forget(south::uses);
@@ -139,7 +149,7 @@
                 this::heardFrom);
         exchange = new ListExchange(
                 module.index(),
-                mayAsk ? module.balancers() : 1,
+                Math.max(1, others),
                 ~module.seed(),
                 time,
                 inventory,
@@ -147,6 +157,7 @@
                 counters,
                 peers::tell,
                 hearsList);
+        exchange.whenConfirmed(this::ready);
         discovery.whenUnwatched(exchange::seek);
         dispatcher.beginOnlyWhile(() -> confirmation.current(time.now()));
         dispatcher.connect(north, south, discovery, peers);
@@ -178,7 +189,8 @@
      * they are pushed to: nothing arrives by itself on sockets, and the module orders no watch there. The first event.
      *
      * @param serve begins to take clients. Danger: what the agent holds counts as told from the first moment on, while the
-     *              configuration's list may be old; so this waits for the agent's first word, or a second where it is silent
+     *              configuration's list may be old; so this waits for the agent's first word, or a second where it is
+     *              silent. Where lists are asked for it waits for another balancer's first word, or a tenth of a second
      */
     public void start(Runnable serve) {
         toServe = serve;
@@ -192,8 +204,10 @@
         if (settings.module().membership() == Decisions.Membership.PUSH) {
             discovery.attend(settings.module().rules().drainGraceMicros());
             time.after(FIRST_LIST_MICROS, this::ready);
-        } else {
+        } else if (othersKnow) {
             exchange.seek();
+            time.after(FIRST_WORD_MICROS, this::ready);
+        } else {
             ready();
         }
     }
--- a/balancer/src/main/java/baymoor/inventory/ListExchange.java
+++ b/balancer/src/main/java/baymoor/inventory/ListExchange.java
@@ -44,6 +44,7 @@
     private final Counters counters;
     private final Sender sender;
     private final Consumer<ServerList> events;
+    private Runnable confirmed = () -> {};
     private final Map<Long, Asked> questions = new HashMap<>();
     private long pauseMicros;
     private Time.Timer next;
@@ -85,6 +86,11 @@
         random = new Random(seed);
     }
 
+    /** Has a task run each time another one's word has confirmed the list. */
+    public void whenConfirmed(Runnable task) {
+        confirmed = task;
+    }
+
     /** Begins to ask others, unless a watch is up or it asks already. */
     public void seek() {
         if (next == null && !confirmation.watched() && balancers > 1) {
@@ -169,6 +175,7 @@
         if (list != null) {
             events.accept(list);
         }
+        confirmed.run();
     }
 
     private void noAnswer(int from, ListMessage.NoAnswer none) {
--- a/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
@@ -37,7 +37,7 @@
 
     private static final long MS = 1_000;
     private static final long SECOND = 1_000_000;
-    private static final int MOST_BALANCERS = 200;
+    private static final int MOST_BALANCERS = 1_000;
     private static final int MOST_ROUTERS = 5_000;
     private static final double MANY = 1e9;
     private static final Pattern BARE_UNIT =
@@ -254,7 +254,9 @@
                 t.times("spread", new Span(25 * MS, 1_300 * MS)),
                 t.time("call", 20 * MS),
                 t.time("line", MS),
-                t.time("patience", 2 * SECOND));
+                t.time("patience", 2 * SECOND),
+                t.time("failed", 0),
+                t.flag("at_once", false));
         t.end();
         return discovery;
     }
--- a/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
+++ b/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
@@ -41,12 +41,23 @@
         long unixMillis(long micros);
     }
 
+    /** Hears how each call ended. */
+    @FunctionalInterface
+    interface Calls {
+        void ended(int balancer, String how);
+    }
+
+    static final String WATCHED = "list-watched";
+    static final String ANSWERED = "list-answered";
+    static final String TURNED_DOWN = "list-turned-down";
+
     private final Scenario.Discovery spec;
     private final Time time;
     private final UniformRandomProvider chance;
     private final Judge judge;
     private final Reach reach;
     private final IntToLongFunction cutSince;
+    private final Calls calls;
     /** What is listed, and the last change of each name by its version, those that ended among them. */
     private final Map<String, Entry> listed = new LinkedHashMap<>();
 
@@ -72,7 +83,9 @@
             UniformRandomProvider chance,
             Judge judge,
             Reach reach,
-            IntToLongFunction cutSince) {
+            IntToLongFunction cutSince,
+            Calls calls) {
+        this.calls = calls;
         this.cutSince = cutSince;
         this.spec = spec;
         this.time = time;
@@ -288,6 +301,13 @@
             }
         }
 
+        private void turnDown() {
+            if (!over) {
+                calls.ended(balancer, TURNED_DOWN);
+                end(503, "Service Unavailable");
+            }
+        }
+
         /** One after another: a call begins when those before it are done. */
         private void call(String target) {
             boolean watching = target.contains("watch=1");
@@ -299,12 +319,14 @@
             long cost = (long) ((spec.callMicros() + lines * spec.lineMicros()) * slowness);
             long start = Math.max(time.now(), busyUntil);
             if (start + cost - time.now() > spec.patienceMicros()) {
-                time.after(spec.patienceMicros(), () -> end(503, "Service Unavailable"));
+                busyUntil = start + (long) (spec.failedMicros() * slowness);
+                time.after(spec.atOnce() ? 0 : spec.patienceMicros(), this::turnDown);
                 return;
             }
             busyUntil = start + cost;
             time.after(busyUntil - time.now(), () -> {
                 if (!over && up) {
+                    calls.ended(balancer, watching ? WATCHED : ANSWERED);
                     if (watching) {
                         watch(ListStream.from(target));
                     } else {
--- a/emulator/src/main/java/baymoor/emulator/world/World.java
+++ b/emulator/src/main/java/baymoor/emulator/world/World.java
@@ -112,7 +112,8 @@
                 streams.of("discovery"),
                 judge,
                 platform,
-                b -> scenario.discovery().pushed() ? -1 : cutOff(b));
+                b -> scenario.discovery().pushed() ? -1 : cutOff(b),
+                (balancer, how) -> said.accept(how, "n" + balancer));
         clients = new Clients(scenario, platform, streams, catalogue, judge, tally);
         cutSince = new long[scenario.zones().size()];
         Arrays.fill(cutSince, -1);
