--- a/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
@@ -109,7 +109,8 @@
      * Discovery. {@code notice}: until it knows that a process ended or drains; {@code silent}: until it knows of one
      * that fell silent; {@code add}: of a new one; {@code spread}: until a change is written to a watch; a call costs
      * {@code callMicros} and {@code lineMicros} for each entry, and fails after waiting {@code patienceMicros}, or where it
-     * would have to and it fails {@code atOnce}, which costs {@code failedMicros}. Where
+     * would have to and it fails {@code atOnce}, which costs {@code failedMicros}. A balancer starts with the list as it is, or
+     * {@code startsAsHeld}, with the one that was written to it last. Where
      * lists are {@code pushed}, an agent on each balancer's machine has them {@code spread} later and answers at once.
      */
     public record Discovery(
@@ -122,7 +123,8 @@
             long lineMicros,
             long patienceMicros,
             long failedMicros,
-            boolean atOnce) {}
+            boolean atOnce,
+            boolean startsAsHeld) {}
 
     /**
      * Open-loop traffic. {@code zoneShares}: of the zones in their order; {@code wave}: swing of a slow sine with the
--- a/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
@@ -256,7 +256,8 @@
                 t.time("line", MS),
                 t.time("patience", 2 * SECOND),
                 t.time("failed", 0),
-                t.flag("at_once", false));
+                t.flag("at_once", false),
+                t.flag("starts_as_held", false));
         t.end();
         return discovery;
     }
--- a/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
+++ b/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
@@ -29,8 +29,11 @@
 public final class DiscoveryService {
 
     private static final int MOST_HISTORY = 1000;
-    /** What a watch that has fallen silent misses counts as told so long after it fell silent. */
-    private static final long SILENT_MICROS = 6_000_000;
+    /**
+     * A change counts as told so long after discovery had it and could be reached, whether it arrived or not; so does what a
+     * watch that has fallen silent misses, from when it fell silent.
+     */
+    private static final long TOLD_MICROS = 6_000_000;
 
     private static final byte[] NONE = new byte[0];
 
@@ -75,6 +78,15 @@
     private long busyUntil;
     private double slowness = 1;
     private boolean up = true;
+    private long upSince;
+    /** Balancers that have been started. */
+    private final Set<Integer> started = new LinkedHashSet<>();
+    /** Changes that count as told to all by now. */
+    private final Map<String, Entry> toldToAll = new LinkedHashMap<>();
+    /** The list as each balancer was last written it, where a new process starts with that. */
+    private final Map<Integer, Held> held = new LinkedHashMap<>();
+
+    private record Held(long index, Collection<Entry> entries) {}
 
     /** @param cutSince since when a balancer is cut off from the service, -1 if it is not */
     DiscoveryService(
@@ -127,6 +139,7 @@
 
     private void list(Entry entry) {
         index++;
+        toldToAll.remove(entry.name());
         Long before = changedLast.put(entry.name(), index);
         if (before != null) {
             history.remove(before);
@@ -142,6 +155,27 @@
         }
         watches.forEach(Watch::due);
         push();
+        if (!spec.pushed()) {
+            long shownAt = index;
+            time.after(TOLD_MICROS, () -> countAsTold(entry, shownAt));
+        }
+    }
+
+    /** A change is long enough ago, unless discovery could not be reached since. */
+    private void countAsTold(Entry entry, long shownAt) {
+        if (changedLast.get(entry.name()) != shownAt) {
+            return; // a later change of it has a time of its own
+        }
+        if (!up || time.now() - upSince < TOLD_MICROS) {
+            time.after(up ? upSince + TOLD_MICROS - time.now() : TOLD_MICROS, () -> countAsTold(entry, shownAt));
+            return;
+        }
+        toldToAll.put(entry.name(), entry);
+        for (int balancer : started) {
+            if (cutSince.applyAsLong(balancer) < 0) {
+                told(balancer, List.of(entry));
+            }
+        }
     }
 
     /** What changed after a version. */
@@ -170,6 +204,7 @@
 
     public void up() {
         up = true;
+        upSince = time.now();
         busyUntil = 0;
         push();
     }
@@ -230,18 +265,22 @@
     /** A balancer's process starts with the list as it is now; of what its forerunner was told it knows nothing. */
     void given(int balancer) {
         judge.started(balancer);
+        started.add(balancer);
         told(balancer, listedFor(balancer));
+        told(balancer, toldToAll.values());
     }
 
     /** The list as a balancer last held it: the agent's, where there is one. */
     Collection<Entry> listedFor(int balancer) {
         Agent agent = agents.get(balancer);
-        return agent == null ? listed() : agent.held();
+        Held last = held.get(balancer);
+        return agent != null ? agent.held() : last != null ? last.entries() : listed();
     }
 
     long indexFor(int balancer) {
         Agent agent = agents.get(balancer);
-        return agent == null ? index : agent.index();
+        Held last = held.get(balancer);
+        return agent != null ? agent.index() : last != null ? last.index() : index;
     }
 
     private void told(int balancer, Collection<Entry> entries) {
@@ -254,10 +293,13 @@
         long since = cutSince.applyAsLong(balancer);
         if (since < 0) {
             told(balancer, entries);
+            if (spec.startsAsHeld()) {
+                held.put(balancer, new Held(at, listed()));
+            }
         } else {
             // Seen: what was written into a connection that a cut had silenced counted as told, and the rule broke.
             time.after(
-                    Math.max(0, since + SILENT_MICROS - time.now()),
+                    Math.max(0, since + TOLD_MICROS - time.now()),
                     () -> told(
                             balancer,
                             entries.stream()
--- /dev/null
+++ b/emulator/src/test/java/baymoor/emulator/virtual/OverbookedDiscoveryTest.java
@@ -0,0 +1,175 @@
+package baymoor.emulator.virtual;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import baymoor.emulator.scenario.ScenarioReader;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.Test;
+
+/**
+ * What a whole tier does that calls for the list at once: discovery works calls off one after another, some 20 a second, turns
+ * down at once whoever would wait too long, and spends time on that too. Routers drain just then. The figures in
+ * {@code docs/design/discovery.md} are what this prints.
+ */
+public class OverbookedDiscoveryTest {
+
+    private static final String SITE = """
+            warm_up = "2s"
+            duration = "%ds"
+            [balancers]
+            count = %d
+            start = "1500ms"
+            [discovery]
+            notice = "200ms"
+            spread = "60ms"
+            call = "45ms"
+            line = "0ms"
+            failed = "20ms"
+            at_once = true
+            starts_as_held = true
+            [[routers]]
+            kind = "two-core"
+            count = 30
+            cores = 2
+            speed = 1.5
+            [keys]
+            count = 2000
+            [traffic]
+            rate = "300/s"
+            [[script]]
+            at = "%dms"
+            do = "drain-router"
+            count = 9
+            for = "30s"
+            """;
+
+    /** Seven in ten are killed at once; routers drain while they are away. */
+    private static final String KILL = """
+            [[script]]
+            at = "3s"
+            do = "restart-balancers"
+            share = "70%"
+            within = "0s"
+            at_once = "70%"
+            planned = false
+            """;
+
+    /** Discovery is down; routers drain meanwhile. */
+    private static final String OUTAGE = """
+            [[script]]
+            at = "3s"
+            do = "discovery-down"
+            for = "6s"
+            """;
+
+    /** How the calls of a run ended. */
+    private record Calls(List<String> broken, int callers, int most, List<Double> watchedAfter) {
+
+        /** Seconds until so many of a hundred callers had a watch; infinite if they never had. */
+        double until(int percent) {
+            int place = (callers * percent + 99) / 100 - 1;
+            return place < watchedAfter.size() ? watchedAfter.get(place) : Double.POSITIVE_INFINITY;
+        }
+
+        @Override
+        public String toString() {
+            return String.format(
+                    java.util.Locale.ROOT,
+                    "%d callers, at most %d calls a second, watched after %.1f s (50%%), %.1f s (99%%), %.1f s (100%%), broke %d",
+                    callers,
+                    most,
+                    until(50),
+                    until(99),
+                    until(100),
+                    broken.size());
+        }
+    }
+
+    private static Calls play(
+            int balancers, String script, int drainMillis, int fromSecond, int untilSecond, int callers)
+            throws Exception {
+        ByteArrayOutputStream log = new ByteArrayOutputStream();
+        String site = String.format(SITE, untilSecond - 2, balancers, drainMillis);
+        VirtualRun.Result result = VirtualRun.play(
+                ScenarioReader.parse(site + script, "overbooked"), new VirtualRun.Options(11, log, true, micros -> {}));
+        Map<Long, Integer> calls = new HashMap<>();
+        Set<String> watched = new HashSet<>();
+        List<Double> after = new ArrayList<>();
+        for (String line : log.toString(StandardCharsets.UTF_8).split("\n")) {
+            String[] fields = line.split(" ");
+            double second = Long.parseLong(fields[0]) / 1e6;
+            if (!fields[1].equals("act") || !fields[2].startsWith("list-") || second < fromSecond) {
+                continue;
+            }
+            calls.merge((long) second, 1, Integer::sum);
+            if (fields[2].equals("list-watched") && watched.add(fields[3])) {
+                after.add(second - fromSecond);
+            }
+        }
+        Collections.sort(after);
+        Calls seen = new Calls(
+                result.broken().stream().map(b -> b.rule() + " " + b.what()).toList(),
+                callers,
+                calls.values().stream().mapToInt(c -> c).max().orElse(0),
+                after);
+        System.out.println("overbooked discovery, " + balancers + " balancers, "
+                + (script.equals(KILL) ? "mass kill" : "outage") + ": " + seen + ", " + result.events() + " events, "
+                + result.wallNanos() / 1_000_000 + " ms");
+        return seen;
+    }
+
+    private static Calls kill(int balancers) throws Exception {
+        return play(balancers, KILL, 3_200, 4, 20, balancers * 7 / 10);
+    }
+
+    private static Calls outage(int balancers) throws Exception {
+        return play(balancers, OUTAGE, 5_000, 9, 26, balancers);
+    }
+
+    @Test
+    public void aMassKillOfTwenty() throws Exception {
+        Calls calls = kill(20);
+        assertEquals(List.of(), calls.broken());
+        assertTrue(calls.toString(), calls.until(100) < 6);
+    }
+
+    @Test
+    public void aMassKillOfAHundred() throws Exception {
+        Calls calls = kill(100);
+        assertEquals(List.of(), calls.broken());
+        assertTrue(calls.toString(), calls.until(50) < 6 && calls.until(99) < 14);
+    }
+
+    @Test
+    public void anOutageForTwenty() throws Exception {
+        Calls calls = outage(20);
+        assertEquals(List.of(), calls.broken());
+        assertTrue(calls.toString(), calls.until(100) < 6);
+    }
+
+    @Test
+    public void anOutageForAHundred() throws Exception {
+        Calls calls = outage(100);
+        assertEquals(List.of(), calls.broken());
+        assertTrue(calls.toString(), calls.until(50) < 6 && calls.until(99) < 14);
+    }
+
+    /** Not a part of every build: {@code mvn -pl emulator -am test -Dtest=OverbookedDiscoveryTest -Dbaymoor.balancers=640}. */
+    @Test
+    public void asManyAsAreAskedFor() throws Exception {
+        int balancers = Integer.getInteger("baymoor.balancers", 0);
+        if (balancers > 0) {
+            kill(balancers);
+            outage(balancers);
+        }
+    }
+}
