That discovery is down travels too; calls put off come sooner once another one has the list

In a large tier one balancer calls seldom while calls are turned down, so that its own calls no longer show that discovery is down; a no-answer says how long ago it was found so. A call without a connection waits in no queue and is taken for dead after 2 s.

--- a/balancer/src/main/java/baymoor/assembly/Assembly.java
+++ b/balancer/src/main/java/baymoor/assembly/Assembly.java
@@ -157,7 +157,10 @@
                 counters,
                 peers::tell,
                 hearsList);
-        exchange.whenConfirmed(this::ready);
+        exchange.whenConfirmed(() -> {
+            discovery.reachable();
+            ready();
+        });
         discovery.whenUnwatched(exchange::seek);
         dispatcher.beginOnlyWhile(() -> confirmation.current(time.now()));
         dispatcher.connect(north, south, discovery, peers);
--- a/balancer/src/main/java/baymoor/inventory/CallPacing.java
+++ b/balancer/src/main/java/baymoor/inventory/CallPacing.java
@@ -40,8 +40,8 @@
     private static final long MOST_FIRST_MICROS = 2_000_000;
     /** How long a call on a good connection takes where nobody else calls, with a margin for a slow start. */
     private static final long UNHURRIED_MICROS = 1_000_000;
-    /** No call is taken for dead sooner: half of what a change has to be known in is left after the silence before it. */
-    private static final long FIRST_SILENCE_MICROS = 2_000_000;
+    /** No call is taken for dead sooner, nor one later that has no connection yet: half of what a change has to be known in is left after the silence before it. */
+    static final long FIRST_SILENCE_MICROS = 2_000_000;
     /** Longer than any discovery lets a call wait for its turn (2 and 3 s are known of). */
     private static final long MOST_QUEUE_MICROS = 3_200_000;
 
@@ -69,6 +69,14 @@
         }
     }
 
+    /**
+     * Discovery is up again, as another balancer says that has its list. All hear so within a second, so their calls are
+     * spread over twice the first window.
+     */
+    public void resumed() {
+        doublings = Math.min(1, doublings);
+    }
+
     /** The time to wait from now on to this balancer's turn in the present window. */
     public long pauseMicros() {
         double within = (turn + random.nextDouble()) / callers;
--- a/balancer/src/main/java/baymoor/inventory/Discovery.java
+++ b/balancer/src/main/java/baymoor/inventory/Discovery.java
@@ -63,6 +63,8 @@
     private final CallPacing pacing;
     private final ListConfirmation confirmation;
     private Runnable unwatched = () -> {};
+    /** Whether others have told of discovery's return since the watch was lost. */
+    private boolean resumed;
     /** The watch that has answered, if any, and calls for another, the oldest first. */
     private Call watch;
 
@@ -197,9 +199,21 @@
         callAgainLater();
     }
 
+    /** A call that has no connection yet waits in no queue, and is taken for dead sooner than one that has. */
     private void callAgainLater() {
         if (secondCall == null && !calls.isEmpty() && calls.size() < MOST_CALLS) {
-            secondCall = time.after(lastCallMicros + pacing.deadAfterMicros() - time.now(), this::call);
+            long dead = lastCallMicros + CallPacing.FIRST_SILENCE_MICROS;
+            secondCall = time.after(dead - time.now(), this::callAgainIfDead);
+        }
+    }
+
+    private void callAgainIfDead() {
+        long dead = lastCallMicros + pacing.deadAfterMicros();
+        boolean waits = calls.get(calls.size() - 1).opened;
+        if (waits && time.now() < dead) {
+            secondCall = time.after(dead - time.now(), this::call);
+        } else {
+            call();
         }
     }
 
@@ -214,7 +228,21 @@
         pacing.ended(CallPacing.End.ANSWERED);
     }
 
+    /** Another balancer has discovery's list: where calls had been put off while it was down, they come sooner now. */
+    public void reachable() {
+        if (resumed) {
+            return;
+        }
+        resumed = true;
+        pacing.resumed();
+        if (nextTry != null && moves == 0) {
+            nextTry = cancelled(nextTry);
+            callInTurn();
+        }
+    }
+
     private void lost() {
+        resumed = false;
         confirmation.watchLost();
         unwatched.run();
     }
--- a/balancer/src/main/java/baymoor/inventory/ListConfirmation.java
+++ b/balancer/src/main/java/baymoor/inventory/ListConfirmation.java
@@ -69,6 +69,16 @@
         noneKnowsMicros = nowMicros;
     }
 
+    /** Discovery could not be reached at a time: what it has counts as told so much later. */
+    void unreachable(long atMicros) {
+        unreachableMicros = Math.max(unreachableMicros, atMicros);
+    }
+
+    /** When discovery could last not be reached, long ago where it always could. */
+    long unreachableMicros() {
+        return unreachableMicros;
+    }
+
     /**
      * A call for the list has failed. Discovery was down then if it took no connection, and may have been if it turned the
      * call down at once. That also happens where too many call; but then others have a watch, so it counts where none of
@@ -78,7 +88,7 @@
         boolean nobody = !peers || nowMicros - noneKnowsMicros < NONE_KNOWS_MICROS;
         boolean atOnce = nowMicros - beganMicros < AT_ONCE_MICROS;
         if (end == CallPacing.End.REFUSED || end == CallPacing.End.TURNED_DOWN && atOnce && nobody) {
-            unreachableMicros = Math.max(unreachableMicros, beganMicros);
+            unreachable(beganMicros);
         }
     }
 
--- a/balancer/src/main/java/baymoor/inventory/ListExchange.java
+++ b/balancer/src/main/java/baymoor/inventory/ListExchange.java
@@ -123,7 +123,17 @@
     }
 
     private int ageMillis() {
-        return (int) Math.min(Integer.MAX_VALUE, (time.now() - confirmation.completeMicros() + 999) / 1000);
+        return millisSince(confirmation.completeMicros());
+    }
+
+    /** Rounded up: what is told is never younger than it is. */
+    private int millisSince(long micros) {
+        return (int) Math.min(Integer.MAX_VALUE, (time.now() - micros + 999) / 1000);
+    }
+
+    private int downMillis() {
+        long down = confirmation.unreachableMicros();
+        return time.now() - down < ListConfirmation.TOLD_MICROS ? millisSince(down) : ListMessage.NoAnswer.NOT_DOWN;
     }
 
     /** Takes a datagram of another balancer; false if it isn't about lists. */
@@ -149,7 +159,7 @@
                 ? ListMessage.parts(question.nonce(), inventory.version(), ageMillis(), inventory.running())
                 : List.of();
         if (parts.isEmpty()) {
-            sender.tell(from, new ListMessage.NoAnswer(question.nonce()).encode());
+            sender.tell(from, new ListMessage.NoAnswer(question.nonce(), downMillis()).encode());
         }
         parts.forEach(part -> sender.tell(from, part.encode()));
     }
@@ -184,6 +194,9 @@
             counters.add(Count.PEER_BAD);
         } else {
             confirmation.noneKnows(time.now());
+            if (none.downMillis() != ListMessage.NoAnswer.NOT_DOWN) {
+                confirmation.unreachable(asked.atMicros - none.downMillis() * 1000L);
+            }
         }
     }
 }
--- a/balancer/src/main/java/baymoor/inventory/ListMessage.java
+++ b/balancer/src/main/java/baymoor/inventory/ListMessage.java
@@ -65,13 +65,18 @@
         }
     }
 
-    /** Says that the sender knows no later list. */
-    record NoAnswer(long nonce) implements ListMessage {
-        static final int BYTES = 1 + Long.BYTES;
+    /** Says that the sender knows no later list, and how long ago discovery was found to be down; {@link #NOT_DOWN} if not. */
+    record NoAnswer(long nonce, int downMillis) implements ListMessage {
+        static final int NOT_DOWN = -1;
+        static final int BYTES = 1 + Long.BYTES + Integer.BYTES;
 
         @Override
         public byte[] encode() {
-            return ByteBuffer.allocate(BYTES).put(NO_ANSWER).putLong(nonce).array();
+            return ByteBuffer.allocate(BYTES)
+                    .put(NO_ANSWER)
+                    .putLong(nonce)
+                    .putInt(downMillis)
+                    .array();
         }
     }
 
@@ -96,7 +101,7 @@
             return content.length == Question.BYTES ? question(b) : null;
         }
         if (content[0] == NO_ANSWER) {
-            return content.length == NoAnswer.BYTES ? new NoAnswer(b.getLong()) : null;
+            return content.length == NoAnswer.BYTES ? noAnswer(b) : null;
         }
         return content.length >= Answer.HEAD_BYTES ? answer(b) : null;
     }
@@ -106,6 +111,11 @@
         return question.ageMillis >= 0 ? question : null;
     }
 
+    private static NoAnswer noAnswer(ByteBuffer b) {
+        NoAnswer none = new NoAnswer(b.getLong(), b.getInt());
+        return none.downMillis >= NoAnswer.NOT_DOWN ? none : null;
+    }
+
     private static Answer answer(ByteBuffer b) {
         long nonce = b.getLong();
         long version = b.getLong();
--- a/balancer/src/test/java/baymoor/inventory/DiscoveryTurnsTest.java
+++ b/balancer/src/test/java/baymoor/inventory/DiscoveryTurnsTest.java
@@ -122,6 +122,37 @@
         assertFalse(links.get(0).closed);
     }
 
+    @Test
+    public void aCallWithoutAConnectionIsDeadSooner() {
+        ordered();
+        time.pass(2 * SECOND - 10_000);
+        assertEquals(1, links.size());
+        time.pass(20_000);
+        assertEquals(2, links.size());
+    }
+
+    @Test
+    public void callsThatWerePutOffComeSoonerOnceAnotherOneHasTheList() {
+        watched().events.closed();
+        for (int i = 0; i < 6; i++) {
+            ordered();
+            last().events.opened();
+            last().in(BUSY);
+        }
+        discovery.watch(true);
+        discovery.reachable();
+        int before = links.size();
+        time.pass(4 * SECOND);
+        assertEquals(before + 1, links.size());
+        last().events.opened();
+        last().in(BUSY);
+        discovery.watch(true);
+        before = links.size();
+        discovery.reachable();
+        time.pass(SECOND / 100);
+        assertEquals("once for each loss, or its word would keep the queue long", before, links.size());
+    }
+
     @Test
     public void aWatchConfirmsTheListOnceItHasToldIt() {
         ordered();
--- a/balancer/src/test/java/baymoor/inventory/ListExchangeTest.java
+++ b/balancer/src/test/java/baymoor/inventory/ListExchangeTest.java
@@ -251,12 +251,27 @@
         assertEquals(2, lifted.servers().size());
     }
 
+    /** In a large tier each calls seldom while discovery is down; what one finds must do for all. */
+    @Test
+    public void thatDiscoveryIsDownTravelsToo() {
+        tier(100);
+        seekAll();
+        for (int second = 0; second < 30; second++) {
+            Node finds = nodes.get(random.nextInt(100));
+            finds.confirmation.failed(CallPacing.End.REFUSED, time.now(), time.now());
+            time.pass(SECOND);
+        }
+        nodes.forEach(node -> assertTrue(node.confirmation.current(time.now())));
+        time.pass(7 * SECOND);
+        nodes.forEach(node -> assertFalse(node.confirmation.current(time.now())));
+    }
+
     @Test
     public void anAnswerToNoQuestionIsCountedAndDropped() {
         tier(3);
         Node node = nodes.get(0);
         node.exchange.heard(1, new ListMessage.Answer(1, 9, 0, 0, 1, List.of()).encode());
-        node.exchange.heard(1, new ListMessage.NoAnswer(1).encode());
+        node.exchange.heard(1, new ListMessage.NoAnswer(1, 0).encode());
         assertEquals(2, node.counters.get(Count.PEER_BAD));
         assertEquals(State.RUNNING, node.state(A));
         assertFalse(node.confirmation.confirmed());
--- a/balancer/src/test/java/baymoor/inventory/ListMessageTest.java
+++ b/balancer/src/test/java/baymoor/inventory/ListMessageTest.java
@@ -21,7 +21,8 @@
     public void whatIsWrittenIsReadAgain() {
         for (ListMessage message : List.of(
                 new ListMessage.Question(-7, 1234),
-                new ListMessage.NoAnswer(Long.MIN_VALUE),
+                new ListMessage.NoAnswer(Long.MIN_VALUE, ListMessage.NoAnswer.NOT_DOWN),
+                new ListMessage.NoAnswer(3, 0),
                 new ListMessage.Answer(5, 41, 0, 0, 1, List.of()),
                 new ListMessage.Answer(5, 41, 99, 1, 2, tags(3)))) {
             assertEquals(message, ListMessage.decode(message.encode()));
@@ -50,7 +51,7 @@
         figures[0] = 1;
         assertFalse(ListMessage.concerns(figures));
         assertFalse(ListMessage.concerns(new byte[0]));
-        assertTrue(ListMessage.concerns(new ListMessage.NoAnswer(1).encode()));
+        assertTrue(ListMessage.concerns(new ListMessage.NoAnswer(1, 0).encode()));
     }
 
     @Test
@@ -68,6 +69,7 @@
         assertNull(ListMessage.decode(new ListMessage.Answer(5, 1, 0, 0, 33, tags(58)).encode()));
         assertNull(ListMessage.decode(new ListMessage.Answer(5, 1, 0, 0, 1, tags(59)).encode()));
         assertNull(ListMessage.decode(new ListMessage.Question(5, -1).encode()));
+        assertNull(ListMessage.decode(new ListMessage.NoAnswer(5, -2).encode()));
     }
 
     @Test
