A client found to have left is gone at once, before its attempts are tried again

The driver marks a connection as over before the decision thread hears of its end. A connection to a router that comes up in between asks North.waits, the attempt ends as NOT_SENT, the decisions try again at once (tasks due at once go before what is queued), and after five attempts the request is refused to nobody, before the client's end is told. Ruled out: reading that stays suspended (all 3000 commands had been read, and the client's end was heard). At fault is RespClient.there(), which told of the end ahead of its event and did not act on it. So the program races, not the test.

Change: the connection's own state machine deals with the end as soon as it is noticed there, right after the present event and before the ends of attempts; the queued event then changes nothing. The IT is unchanged.

Tests: DispatcherTest.aClientFoundToHaveLeftIsGoneBeforeItsAttemptEndsThoughItsEndIsToldLater is new and fails without the change. One expected value of whatIsOrderedForAClientThatHasLeftDoesNotBeginThoughItsEndIsNotToldYet is now 'NOT_SENT done' where it was 'NOT_SENT': the request is over by then, which is what changed; it still must not begin.

--- a/balancer/src/main/java/baymoor/north/RespClient.java
+++ b/balancer/src/main/java/baymoor/north/RespClient.java
@@ -57,6 +57,9 @@
     private boolean leaving;
 
     private boolean finished;
+    /** Its end has been dealt with, or is next. */
+    private boolean left;
+
     private boolean paused;
     private boolean spoken;
     /** When this connection last got on: came up, brought a whole command, sent an answer, or was ended. */
@@ -77,8 +80,18 @@
         return spoken;
     }
 
+    /**
+     * Whether the client is still connected. The connection may be over though its end is still queued behind other events;
+     * once that is noticed here, the end is dealt with right after the present event. Danger: seen was that a connection to a
+     * router came up in between, each attempt of a client that had left ended as not sent, and after five of them, all before
+     * the client's end was told, the request counted as refused and not as gone.
+     */
     boolean there() {
-        return !link.over();
+        if (!left && link.over()) {
+            left = true;
+            north.time.after(0, this::forget);
+        }
+        return !left;
     }
 
     /** Since when nothing has moved here. */
@@ -363,6 +376,14 @@
 
     @Override
     public void closed() {
+        if (!left) {
+            left = true;
+            forget();
+        }
+    }
+
+    /** Nothing is owed here any more. */
+    private void forget() {
         stopped = true;
         north.gone(this, List.copyOf(row));
         row.clear();
--- a/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
+++ b/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
@@ -25,6 +25,7 @@
 import merlinstep.Decisions.Refuse;
 import merlinstep.Decisions.Request;
 import merlinstep.Decisions.RequestClass;
+import merlinstep.Decisions.RequestGone;
 import merlinstep.Decisions.Send;
 import merlinstep.Decisions.SetTimer;
 import merlinstep.Decisions.Sink;
@@ -180,7 +181,7 @@
         client.in(GET);
         links.get(0).events.opened();
         assertEquals("", links.get(0).takeOut());
-        assertEquals("[0 NOT_SENT]", ends());
+        assertEquals("[0 NOT_SENT done]", ends());
         client.in(GET.replace("i\r", "j\r"));
         assertEquals(
                 "what it sent before is not taken up",
@@ -188,6 +189,36 @@
                 heard.stream().filter(e -> e instanceof Request).count());
     }
 
+    /** Danger: while the client's end is queued, the decisions would use up all attempts and refuse, to nobody. */
+    @Test
+    public void aClientFoundToHaveLeftIsGoneBeforeItsAttemptEndsThoughItsEndIsToldLater() {
+        orders = (event, sink) -> {
+            if (event instanceof Request r) {
+                sink.accept(new Send(r.id(), 1, 0));
+            } else if (event instanceof AttemptEnded e && !e.done()) {
+                sink.accept(e.attempt() == 0 ? new Send(e.request(), 1, 0) : new Refuse(e.request(), 0));
+            }
+        };
+        client.in(GET);
+        client.in(GET.replace("i\r", "j\r"));
+        client.over = true;
+        links.get(0).events.opened();
+        links.get(1).events.opened();
+        assertEquals("[0 NOT_SENT done, 0 NOT_SENT done]", ends());
+        client.events.closed();
+        time.pass(0);
+        assertEquals("", links.get(0).takeOut() + links.get(1).takeOut() + client.takeOut());
+        assertEquals(2, counters.get(Count.REQUESTS_GONE));
+        assertEquals(0, counters.get(Count.REFUSED));
+        assertEquals(1, counters.get(Count.CLIENTS_CLOSED));
+        assertEquals(
+                List.of(Request.class, Request.class, RequestGone.class, RequestGone.class),
+                heard.stream()
+                        .filter(e -> !(e instanceof AttemptEnded))
+                        .map(Object::getClass)
+                        .toList());
+    }
+
     /** Danger: the repeat waits for a connection, and begins when the servers drop no second copy any more. */
     @Test
     public void aRepeatBeginsOnlyWhileItDoesNoHarm() {
