Doc comments on public methods; two long methods in parts

Change: public methods of main code say what they give; reading and writing the settings of the module go object by object (Config, BalancerConfig), in the same order as before; a parameter is no longer assigned to.

--- a/balancer/src/main/java/baymoor/config/Config.java
+++ b/balancer/src/main/java/baymoor/config/Config.java
@@ -37,6 +37,17 @@
 
     private static final int MOST = Integer.MAX_VALUE;
 
+    private static final Map<String, Effect> EFFECTS =
+            Map.of("retryable", Effect.SAFE, "dedup", Effect.KEYED, "fragile", Effect.UNSAFE);
+    private static final Map<String, Group> GROUPS = Map.of("all", Group.ALL, "zone", Group.ZONE, "cell", Group.CELL);
+    private static final Map<String, Membership> MEMBERSHIPS =
+            Map.of("subscribe", Membership.ASK, "automatic", Membership.PUSH);
+    private static final Map<String, Mode> MODES = Map.of("aside", Mode.ASIDE, "through", Mode.THROUGH);
+    private static final Map<String, Reports> REPORTS =
+            Map.of("inline", Reports.WITH_ANSWERS, "on_probe", Reports.WITH_PROBES, "off", Reports.NONE);
+    private static final Map<String, Weights> WEIGHTS =
+            Map.of("nominal", Weights.NOMINAL, "rough", Weights.ROUGH, "live", Weights.LIVE, "off", Weights.NONE);
+
     private Config() {}
 
     /** Reads the file that {@code ROUTER_CONFIG} names; the other variables fill in what it leaves out. */
@@ -89,31 +100,8 @@
     }
 
     private static Decisions.Settings module(Fields f, long seed) throws BadConfig {
-        List<RequestClass> classes = new ArrayList<>();
-        Set<String> names = new HashSet<>();
-        for (Fields c : f.objects("classes")) {
-            if (!names.add(c.text("name"))) {
-                throw c.bad("name", "names a class that there is already");
-            }
-            classes.add(new RequestClass(
-                    c.text("name"),
-                    c.span("on_time", 0),
-                    c.amount("aim_stretch", 0),
-                    c.atLeast("hard_limit", 1),
-                    c.choice(
-                            "effect",
-                            Effect.UNSAFE,
-                            Map.of("retryable", Effect.SAFE, "dedup", Effect.KEYED, "fragile", Effect.UNSAFE)),
-                    c.choice("group", Group.CELL, Map.of("all", Group.ALL, "zone", Group.ZONE, "cell", Group.CELL)),
-                    c.span("key_ttl", 0),
-                    c.amount("value", 1),
-                    c.amount("late_worth", 0),
-                    c.flag("streamed")));
-        }
-        List<Tenant> tenants = new ArrayList<>();
-        for (Fields t : f.objects("tenants")) {
-            tenants.add(new Tenant(t.text("name"), t.amount("share", 0), t.amount("quota_per_s", 0)));
-        }
+        List<RequestClass> classes = classes(f);
+        List<Tenant> tenants = tenants(f);
         Fields extra = f.object("extra");
         Fields goal = f.object("scoring_mix");
         Fields reports = f.object("load_info");
@@ -131,46 +119,15 @@
                     f.count("layer", 0, 0, MOST),
                     classes,
                     tenants,
-                    f.choice(
-                            "membership_mode",
-                            Membership.PUSH,
-                            Map.of("subscribe", Membership.ASK, "automatic", Membership.PUSH)),
-                    new Origin(
-                            extra.choice("mode", Mode.THROUGH, Map.of("aside", Mode.ASIDE, "through", Mode.THROUGH)),
-                            extra.count("origin_kind", -1, -1, MOST),
-                            extra.amount("origin_fall_multiple", 0),
-                            extra.span("origin_fall", 0)),
+                    f.choice("membership_mode", Membership.PUSH, MEMBERSHIPS),
+                    origin(extra),
                     limits(f.object("limits")),
                     rules(f.object("rules")),
                     prices(f.object("prices")),
-                    new Goal(
-                            goal.real("whole", 1),
-                            goal.real("worst_window", 0),
-                            goal.real("worst_class", 0),
-                            goal.real("worst_tenant", 0)),
-                    reports.choice(
-                            "how",
-                            Reports.NONE,
-                            Map.of(
-                                    "inline",
-                                    Reports.WITH_ANSWERS,
-                                    "on_probe",
-                                    Reports.WITH_PROBES,
-                                    "off",
-                                    Reports.NONE)),
+                    goal(goal),
+                    reports.choice("how", Reports.NONE, REPORTS),
                     reports.texts("names"),
-                    f.choice(
-                            "weights",
-                            Weights.NONE,
-                            Map.of(
-                                    "nominal",
-                                    Weights.NOMINAL,
-                                    "rough",
-                                    Weights.ROUGH,
-                                    "live",
-                                    Weights.LIVE,
-                                    "off",
-                                    Weights.NONE)),
+                    f.choice("weights", Weights.NONE, WEIGHTS),
                     f.text("counted_by", "request").equals("work"),
                     f.amount("over_share_worth", 1),
                     f.object("client_habits").flag("marks_retry"),
@@ -180,6 +137,49 @@
         }
     }
 
+    private static List<RequestClass> classes(Fields f) throws BadConfig {
+        List<RequestClass> classes = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (Fields c : f.objects("classes")) {
+            if (!names.add(c.text("name"))) {
+                throw c.bad("name", "names a class that there is already");
+            }
+            classes.add(new RequestClass(
+                    c.text("name"),
+                    c.span("on_time", 0),
+                    c.amount("aim_stretch", 0),
+                    c.atLeast("hard_limit", 1),
+                    c.choice("effect", Effect.UNSAFE, EFFECTS),
+                    c.choice("group", Group.CELL, GROUPS),
+                    c.span("key_ttl", 0),
+                    c.amount("value", 1),
+                    c.amount("late_worth", 0),
+                    c.flag("streamed")));
+        }
+        return classes;
+    }
+
+    private static List<Tenant> tenants(Fields f) throws BadConfig {
+        List<Tenant> tenants = new ArrayList<>();
+        for (Fields t : f.objects("tenants")) {
+            tenants.add(new Tenant(t.text("name"), t.amount("share", 0), t.amount("quota_per_s", 0)));
+        }
+        return tenants;
+    }
+
+    private static Origin origin(Fields f) throws BadConfig {
+        return new Origin(
+                f.choice("mode", Mode.THROUGH, MODES),
+                f.count("origin_kind", -1, -1, MOST),
+                f.amount("origin_fall_multiple", 0),
+                f.span("origin_fall", 0));
+    }
+
+    private static Goal goal(Fields f) throws BadConfig {
+        return new Goal(
+                f.real("whole", 1), f.real("worst_window", 0), f.real("worst_class", 0), f.real("worst_tenant", 0));
+    }
+
     private static Limits limits(Fields f) throws BadConfig {
         return new Limits(
                 f.count("max_attempts", 1, 1, MOST),
--- a/balancer/src/main/java/baymoor/counters/Counters.java
+++ b/balancer/src/main/java/baymoor/counters/Counters.java
@@ -8,10 +8,12 @@
 
     private final AtomicLongArray values = new AtomicLongArray(Count.values().length);
 
+    /** Adds one to a counter. */
     public void add(Count what) {
         values.incrementAndGet(what.ordinal());
     }
 
+    /** The present value of a counter. */
     public long get(Count what) {
         return values.get(what.ordinal());
     }
--- a/balancer/src/main/java/baymoor/counters/Invariant.java
+++ b/balancer/src/main/java/baymoor/counters/Invariant.java
@@ -18,6 +18,7 @@
         return holds;
     }
 
+    /** How many checks have failed since the start. */
     public static long broken() {
         return BROKEN.get();
     }
--- a/balancer/src/main/java/baymoor/http/ResponseReader.java
+++ b/balancer/src/main/java/baymoor/http/ResponseReader.java
@@ -80,10 +80,12 @@
         }
     }
 
+    /** Whether the status line and all headers have been read. */
     public boolean headed() {
         return part.ordinal() > Part.HEADERS.ordinal();
     }
 
+    /** Whether the response has been read to its end. */
     public boolean whole() {
         return part == Part.DONE;
     }
@@ -101,6 +103,7 @@
         return headers.containsKey("content-length") || headers.containsKey("transfer-encoding");
     }
 
+    /** The status code, 0 before the status line has been read. */
     public int status() {
         return status;
     }
--- a/balancer/src/main/java/baymoor/link/Time.java
+++ b/balancer/src/main/java/baymoor/link/Time.java
@@ -19,6 +19,7 @@
 
     /** A task that has been put off. */
     interface Timer {
+        /** The task will not run; has no effect on one that has run. */
         void cancel();
     }
 }
--- a/balancer/src/main/java/baymoor/north/Taken.java
+++ b/balancer/src/main/java/baymoor/north/Taken.java
@@ -18,6 +18,7 @@
         double size,
         boolean retry) {
 
+    /** Whether it is a write: a read has no value. */
     public boolean write() {
         return value != null;
     }
--- a/balancer/src/main/java/baymoor/resp/RespReader.java
+++ b/balancer/src/main/java/baymoor/resp/RespReader.java
@@ -40,6 +40,7 @@
         return new RespReader(false);
     }
 
+    /** Adds bytes that came in behind those fed before. */
     public void feed(byte[] more) {
         if (to + more.length > bytes.length) {
             System.arraycopy(bytes, from, bytes, 0, to - from);
--- a/balancer/src/main/java/baymoor/resp/RespWriter.java
+++ b/balancer/src/main/java/baymoor/resp/RespWriter.java
@@ -20,6 +20,7 @@
         return out.toByteArray();
     }
 
+    /** A bulk string. */
     public static byte[] bulk(byte[] content) {
         byte[] head = ascii("$" + content.length + "\r\n");
         byte[] all = new byte[head.length + content.length + END.length];
@@ -38,14 +39,17 @@
         return all;
     }
 
+    /** A simple string; line ends in it become blanks. */
     public static byte[] simple(String text) {
         return ascii("+" + oneLine(text) + "\r\n");
     }
 
+    /** An error; line ends in it become blanks. */
     public static byte[] error(String text) {
         return ascii("-" + oneLine(text) + "\r\n");
     }
 
+    /** The bytes of a text that is written into a command or an answer. */
     public static byte[] ascii(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
--- a/balancer/src/main/java/baymoor/serve/Main.java
+++ b/balancer/src/main/java/baymoor/serve/Main.java
@@ -20,6 +20,7 @@
 
     private Main() {}
 
+    /** Serves until it is told to end; {@code rehearse} plays the rehearsal alone and ends. */
     public static void main(String[] args) {
         boolean rehearse = args.length == 1 && args[0].equals("rehearse");
         if (!rehearse && (args.length != 1 || !args[0].equals("serve"))) {
--- a/balancer/src/main/java/baymoor/south/South.java
+++ b/balancer/src/main/java/baymoor/south/South.java
@@ -22,8 +22,10 @@
 
     /** Hears how relays and probes ended; never while one of this class's methods is being called. */
     public interface Ends {
+        /** An attempt has ended; nothing of it is out any more. */
         void relayEnded(String request, int attempt, long host, Reply reply, long latencyMicros);
 
+        /** A probe has ended. */
         void probeEnded(long host, Reply reply, long latencyMicros);
     }
 
--- a/cli/src/main/java/baymoor/cli/Main.java
+++ b/cli/src/main/java/baymoor/cli/Main.java
@@ -84,6 +84,7 @@
         return line;
     }
 
+    /** Runs the command line and exits with its code. */
     public static void main(String[] args) {
         System.exit(commandLine().execute(args));
     }
--- a/emulator/src/main/java/baymoor/emulator/calibrate/Calibration.java
+++ b/emulator/src/main/java/baymoor/emulator/calibrate/Calibration.java
@@ -59,10 +59,12 @@
 
     /** One percentile at one load: medians over the repeats, microseconds. */
     public record Row(double load, double percentile, double virtual, double sockets) {
+        /** How far virtual time is from loopback, as a share of the latter. */
         public double apart() {
             return virtual / sockets - 1;
         }
 
+        /** Whether the two agree within the bound. */
         public boolean within() {
             return Math.abs(apart()) <= BOUND;
         }
@@ -133,6 +135,7 @@
         return values.length % 2 == 1 ? values[half] : (values[half - 1] + values[half]) / 2;
     }
 
+    /** The rows as a table for people. */
     public static String table(List<Row> rows) {
         StringBuilder text = new StringBuilder(
                 String.format(Locale.ROOT, "%-6s %-5s %12s %12s %8s%n", "load", "p", "virtual", "loopback", "apart"));
@@ -150,6 +153,7 @@
         return text.toString().stripTrailing();
     }
 
+    /** The rows as a JSON array. */
     public static ArrayNode json(List<Row> rows) {
         ArrayNode all = new ObjectMapper().createArrayNode();
         for (Row r : rows) {
--- a/emulator/src/main/java/baymoor/emulator/chance/Draw.java
+++ b/emulator/src/main/java/baymoor/emulator/chance/Draw.java
@@ -29,6 +29,7 @@
         return span.least() + (long) (from.nextDouble() * (span.most() - span.least()));
     }
 
+    /** True with a probability of {@code share}. */
     public static boolean chance(UniformRandomProvider from, double share) {
         return share > 0 && from.nextDouble() < share;
     }
--- a/emulator/src/main/java/baymoor/emulator/engine/Engine.java
+++ b/emulator/src/main/java/baymoor/emulator/engine/Engine.java
@@ -65,6 +65,7 @@
         }
     }
 
+    /** The virtual time in microseconds. */
     public long now() {
         return now;
     }
@@ -111,12 +112,14 @@
         return event;
     }
 
-    private static long mix(long z) {
-        z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
+    /** The finalizer of SplitMix64. */
+    private static long mix(long seed) {
+        long z = (seed ^ seed >>> 30) * 0xbf58476d1ce4e5b9L;
         z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
         return z ^ z >>> 31;
     }
 
+    /** Does something after a delay. */
     public Event after(long micros, Runnable task) {
         return at(now + Math.max(0, micros), task);
     }
@@ -126,6 +129,7 @@
         halted = true;
     }
 
+    /** Whether {@link #halt} has been called. */
     public boolean halted() {
         return halted;
     }
--- a/emulator/src/main/java/baymoor/emulator/engine/Site.java
+++ b/emulator/src/main/java/baymoor/emulator/engine/Site.java
@@ -43,18 +43,22 @@
         this.failed = failed;
     }
 
+    /** Its name in the event log. */
     public String name() {
         return name;
     }
 
+    /** The number of its zone. */
     public int zone() {
         return zone;
     }
 
+    /** Whether it stands outside the networks of the zones. */
     public boolean client() {
         return client;
     }
 
+    /** Whether its process runs. */
     public boolean alive() {
         return alive;
     }
--- a/emulator/src/main/java/baymoor/emulator/fabric/Fabric.java
+++ b/emulator/src/main/java/baymoor/emulator/fabric/Fabric.java
@@ -142,6 +142,7 @@
         wires.remove(wire);
     }
 
+    /** What has passed and what was lost so far. */
     public Counts counts() {
         return new Counts(bytesHeld, resets, datagrams, datagramsLost, datagramsCut, datagramsDoubled);
     }
--- a/emulator/src/main/java/baymoor/emulator/report/Summary.java
+++ b/emulator/src/main/java/baymoor/emulator/report/Summary.java
@@ -35,6 +35,7 @@
         broken = Map.copyOf(broken);
     }
 
+    /** How often rules broke, all rules together. */
     public int brokenCount() {
         return broken.values().stream().mapToInt(Integer::intValue).sum();
     }
--- a/emulator/src/main/java/baymoor/emulator/report/Tally.java
+++ b/emulator/src/main/java/baymoor/emulator/report/Tally.java
@@ -62,6 +62,7 @@
         LEFT
     }
 
+    /** A client has sent a request, for the first time or again. */
     public void tried() {
         tries++;
     }
@@ -108,58 +109,72 @@
         }
     }
 
+    /** A router had the value. */
     public void hit() {
         hits++;
     }
 
+    /** A router did not have the value. */
     public void missed() {
         misses++;
     }
 
+    /** A router or the origin has refused a request without running it. */
     public void turnedAway() {
         turnedAway++;
     }
 
+    /** A read has reached the origin. */
     public void fetched() {
         fetches++;
     }
 
+    /** The origin has performed a write. */
     public void wrote() {
         writes++;
     }
 
+    /** The origin has recognised a write that it had performed before. */
     public void repeatDropped() {
         repeatsDropped++;
     }
 
+    /** A host has answered a probe. */
     public void probed() {
         probes++;
     }
 
+    /** A host has made an answer whose connection is gone. */
     public void wasted() {
         wastedRuns++;
     }
 
+    /** Requests as sent, repeats included. */
     public long tries() {
         return tries;
     }
 
+    /** Requests of clients, without repeats. */
     public long asked() {
         return asked;
     }
 
+    /** Requests answered within the aim of their class. */
     public long inTime() {
         return inTime;
     }
 
+    /** Requests answered after the aim of their class. */
     public long late() {
         return late;
     }
 
+    /** Requests whose last try got a back-off answer. */
     public long refused() {
         return refused;
     }
 
+    /** Requests whose last try got an error. */
     public long failed() {
         return failed;
     }
@@ -179,30 +194,37 @@
         return left;
     }
 
+    /** Reads for which a router had the value. */
     public long hits() {
         return hits;
     }
 
+    /** Reads for which a router did not have the value. */
     public long misses() {
         return misses;
     }
 
+    /** Requests that routers and origin refused without running them. */
     public long turnedAwayByHosts() {
         return turnedAway;
     }
 
+    /** Reads that reached the origin. */
     public long fetches() {
         return fetches;
     }
 
+    /** Writes that the origin performed. */
     public long writes() {
         return writes;
     }
 
+    /** Repeated writes that the origin recognised and did not perform again. */
     public long repeatsDropped() {
         return repeatsDropped;
     }
 
+    /** Probes that hosts answered. */
     public long probes() {
         return probes;
     }
@@ -212,6 +234,7 @@
         return wastedRuns;
     }
 
+    /** Hits over all reads at routers, 0 without any. */
     public double hitShare() {
         return hits + misses == 0 ? 0 : (double) hits / (hits + misses);
     }
@@ -242,6 +265,7 @@
         return latencies.getTotalCount() == 0 ? 0 : latencies.getValueAtPercentile(percentile);
     }
 
+    /** A row for each second, from the first on. */
     public List<Second> seconds() {
         return List.copyOf(seconds);
     }
--- a/emulator/src/main/java/baymoor/emulator/scenario/BadScenario.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/BadScenario.java
@@ -14,6 +14,7 @@
         this.mistakes = List.copyOf(mistakes);
     }
 
+    /** The mistakes in the order in which they were found. */
     public List<Mistake> mistakes() {
         return mistakes;
     }
--- a/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
@@ -163,6 +163,7 @@
             long windowMicros,
             double worth) {}
 
+    /** A tenant and its share of the requests. */
     public record Tenant(String name, double share) {}
 
     /**
@@ -264,6 +265,7 @@
             boolean planned,
             int line) {}
 
+    /** Routers of all kinds together. */
     public int routerCount() {
         return routers.stream().mapToInt(RouterKind::count).sum();
     }
--- a/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
@@ -50,6 +50,7 @@
 
     private ScenarioReader() {}
 
+    /** Reads a scenario file. */
     public static Scenario read(Path file) throws BadScenario {
         try {
             return parse(Files.readString(file), file.toString());
--- a/emulator/src/main/java/baymoor/emulator/sockets/SocketRouter.java
+++ b/emulator/src/main/java/baymoor/emulator/sockets/SocketRouter.java
@@ -17,6 +17,7 @@
 
     private SocketRouter() {}
 
+    /** Loads one router on loopback until the run is over. */
     public static RouterLoad play(Scenario scenario, long seed, double load) throws IOException, InterruptedException {
         String[] failure = new String[1];
         DecisionThread thread = new DecisionThread(new Counters(), line -> failure[0] = line);
--- a/emulator/src/main/java/baymoor/emulator/sockets/SocketRun.java
+++ b/emulator/src/main/java/baymoor/emulator/sockets/SocketRun.java
@@ -68,6 +68,7 @@
         net = new MinaNet(thread);
     }
 
+    /** Plays a scenario with balancers as processes and all other parts on loopback sockets. */
     public static Result play(Scenario scenario, Options options) throws IOException, InterruptedException {
         return new SocketRun(scenario, options).play();
     }
--- a/emulator/src/main/java/baymoor/emulator/sockets/StandIns.java
+++ b/emulator/src/main/java/baymoor/emulator/sockets/StandIns.java
@@ -122,6 +122,7 @@
         }
     }
 
+    /** The configuration files written for the balancers, in the order of their numbers. */
     public List<Path> configurations() {
         return List.copyOf(configurations);
     }
--- a/emulator/src/main/java/baymoor/emulator/virtual/EventLog.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/EventLog.java
@@ -66,6 +66,7 @@
         }
     }
 
+    /** Lines written so far. */
     public long lines() {
         return count;
     }
--- a/emulator/src/main/java/baymoor/emulator/virtual/Speed.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/Speed.java
@@ -65,6 +65,7 @@
 
     private Speed() {}
 
+    /** Plays each size of fleet so many times and gives the medians. */
     public static List<Row> run(int repeats, Consumer<String> progress) {
         double[][] times = new double[SIZES.size()][repeats];
         double[][] events = new double[SIZES.size()][repeats];
@@ -89,6 +90,7 @@
         return rows;
     }
 
+    /** The rows as a JSON array. */
     public static ArrayNode json(List<Row> rows) {
         ArrayNode all = new ObjectMapper().createArrayNode();
         rows.forEach(r -> all.addObject()
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualRouter.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualRouter.java
@@ -12,6 +12,7 @@
 
     private VirtualRouter() {}
 
+    /** Loads one router in virtual time until the run is over. */
     public static RouterLoad play(Scenario scenario, long seed, double load) {
         Engine engine = new Engine();
         Streams streams = new Streams(seed);
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualRun.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualRun.java
@@ -38,6 +38,7 @@
             this(seed, log, keepGoing, progress, 1, 0);
         }
 
+        /** Options with a seed and nothing else: no log, and the run ends at the first broken rule. */
         public static Options seed(long seed) {
             return new Options(seed, null, false, micros -> {});
         }
@@ -63,10 +64,12 @@
             long events,
             long wallNanos) {
 
+        /** Whether every rule was kept. */
         public boolean kept() {
             return broken.isEmpty();
         }
 
+        /** The figures of the run. */
         public Summary summary() {
             return new Summary(
                     scenario.name(),
@@ -83,6 +86,7 @@
 
     private VirtualRun() {}
 
+    /** Plays a scenario in virtual time. */
     public static Result play(Scenario scenario, Options options) {
         return play(scenario, options, Sabotage.NONE);
     }
--- a/emulator/src/main/java/baymoor/emulator/world/BalancerConfig.java
+++ b/emulator/src/main/java/baymoor/emulator/world/BalancerConfig.java
@@ -78,7 +78,26 @@
                 .put("origin_kind", s.routers().size())
                 .put("origin_fall_multiple", s.origin().fallMultiple())
                 .put("origin_fall", s.origin().fallMicros());
-        ArrayNode classes = set.putArray("classes");
+        classes(set.putArray("classes"), s);
+        tenants(set.putArray("tenants"), s);
+        limits(set.putObject("limits"), s);
+        rules(set.putObject("rules"), s);
+        prices(set.putObject("prices"));
+        set.putObject("scoring_mix")
+                .put("whole", 0.25)
+                .put("worst_window", 0.45)
+                .put("worst_class", 0.2)
+                .put("worst_tenant", 0.1);
+        ArrayNode names = set.putObject("load_info")
+                .put("how", f.reports().name().toLowerCase(Locale.ROOT))
+                .putArray("names");
+        if (f.reports() != Scenario.Reports.OFF) {
+            LoadGauge.NAMES.forEach(names::add);
+        }
+        set.putObject("client_habits").put("marks_retry", s.told().retries());
+    }
+
+    private static void classes(ArrayNode classes, Scenario s) {
         for (Scenario.RequestClass c : s.classes()) {
             String effect = c.effect() == Effect.SAFE ? "retryable" : c.effect() == Effect.KEYED ? "dedup" : "fragile";
             classes.addObject()
@@ -92,15 +111,22 @@
                     .put("late_worth", 0.0)
                     .put("streamed", false);
         }
+    }
+
+    private static void tenants(ArrayNode tenants, Scenario s) {
         double requests = capacity(s) * CAPACITY_WITHIN_SHARES;
-        ArrayNode tenants = set.putArray("tenants");
-        s.tenants()
-                .forEach(t -> tenants.addObject()
-                        .put("name", t.name())
-                        .put("share", t.share())
-                        .put("quota_per_s", requests * t.share()));
-        set.putObject("limits")
-                .put("max_attempts", f.maxAttempts())
+        for (Scenario.Tenant t : s.tenants()) {
+            tenants.addObject().put("name", t.name()).put("share", t.share()).put("quota_per_s", requests * t.share());
+        }
+    }
+
+    private static void limits(ObjectNode limits, Scenario s) {
+        Scenario.Figures f = s.figures();
+        long leastIdle = s.routers().stream()
+                .mapToLong(Scenario.RouterKind::idleMicros)
+                .min()
+                .orElse(0);
+        limits.put("max_attempts", f.maxAttempts())
                 .put("open_cap", 20_000)
                 .put("second_copies", false)
                 .put("may_cancel", f.mayCancel())
@@ -109,52 +135,36 @@
                 .put("retry_after", f.retryAfter())
                 .put("max_retry_after", f.maxRetryAfterMicros())
                 .put("connect_timeout", f.connectMicros())
-                .put(
-                        "idle_close",
-                        s.routers().stream()
-                                .mapToLong(Scenario.RouterKind::idleMicros)
-                                .min()
-                                .orElse(0))
+                .put("idle_close", leastIdle)
                 .put("streams_per_conn", s.told().streams())
                 .put("cpu_us_per_s", s.told().cpuMicros())
                 .put("cpu_us_per_request", s.told().cpuPerRequestMicros());
-        set.putObject("rules")
-                .put("answer_slack", f.answerSlackMicros())
+    }
+
+    private static void rules(ObjectNode rules, Scenario s) {
+        Scenario.Figures f = s.figures();
+        double leastColdShare = s.routers().stream()
+                .mapToDouble(Scenario.RouterKind::coldShare)
+                .min()
+                .orElse(1);
+        long longestCold =
+                s.routers().stream().mapToLong(k -> k.coldMicros().most()).max().orElse(0);
+        rules.put("answer_slack", f.answerSlackMicros())
                 .put("drain_grace", f.drainGraceMicros())
                 .put("ask_within", f.askWithinMicros())
-                .put(
-                        "start_capacity",
-                        s.routers().stream()
-                                .mapToDouble(Scenario.RouterKind::coldShare)
-                                .min()
-                                .orElse(1))
-                .put(
-                        "cold",
-                        s.routers().stream()
-                                .mapToLong(k -> k.coldMicros().most())
-                                .max()
-                                .orElse(0))
+                .put("start_capacity", leastColdShare)
+                .put("cold", longestCold)
                 .put("tip_multiple", f.tipMultiple())
                 .put("overload_for", f.tipMicros());
-        set.putObject("prices")
-                .put("cross_zone", 0.03)
+    }
+
+    private static void prices(ObjectNode prices) {
+        prices.put("cross_zone", 0.03)
                 .put("late_fail", 0.03)
                 .put("origin", 0.03)
                 .put("peer", 0.01)
                 .put("probe", 0.01)
                 .put("waste", 0.08);
-        set.putObject("scoring_mix")
-                .put("whole", 0.25)
-                .put("worst_window", 0.45)
-                .put("worst_class", 0.2)
-                .put("worst_tenant", 0.1);
-        ArrayNode names = set.putObject("load_info")
-                .put("how", f.reports().name().toLowerCase(Locale.ROOT))
-                .putArray("names");
-        if (f.reports() != Scenario.Reports.OFF) {
-            LoadGauge.NAMES.forEach(names::add);
-        }
-        set.putObject("client_habits").put("marks_retry", s.told().retries());
     }
 
     /** Requests a second that the routers can serve when all are warm. */
--- a/emulator/src/main/java/baymoor/emulator/world/Catalogue.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Catalogue.java
@@ -32,6 +32,7 @@
         return RandomSource.SPLIT_MIX_64.create(key ^ seed);
     }
 
+    /** The size and work of a key, always the same for one seed. */
     public Thing thing(long key) {
         UniformRandomProvider from = of(key);
         double share = from.nextDouble();
@@ -45,6 +46,7 @@
         return of(rank * 1_000_003L + (long) Math.floor(turns)).nextLong();
     }
 
+    /** The request class of a name, or null. */
     public RequestClass kind(String name) {
         return classes.get(name);
     }
@@ -55,6 +57,7 @@
                 + thing.workShare() * (kind.work().most() - kind.work().least());
     }
 
+    /** A key as clients write it: 16 hex digits. */
     public static String name(long key) {
         return HexFormat.of().toHexDigits(key);
     }
--- a/emulator/src/main/java/baymoor/emulator/world/Fleet.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Fleet.java
@@ -5,14 +5,17 @@
 
     /** Hears of balancers that come and go. */
     interface Watcher {
+        /** It listens from now on. */
         void ready(int balancer);
 
         /** It was told to end (SIGTERM), and from then on closes its listener and its connections. */
         default void ending(int balancer) {}
 
+        /** Its process has ended. */
         void ended(int balancer);
     }
 
+    /** How many balancers there are. */
     int count();
 
     /** Whether it runs and listens. */
--- a/emulator/src/main/java/baymoor/emulator/world/Origin.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Origin.java
@@ -103,6 +103,7 @@
         connections.clear();
     }
 
+    /** Its process is up. */
     public void start() {
         up = true;
     }
--- a/emulator/src/main/java/baymoor/emulator/world/Platform.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Platform.java
@@ -25,6 +25,7 @@
     /** Opens connections as the clients of a zone do. */
     Dialer clients(int zone);
 
+    /** Where a balancer listens to clients. */
     InetSocketAddress balancer(int number);
 
     /** Where a balancer listens to the others, as one of them knows it. */
--- a/emulator/src/main/java/baymoor/emulator/world/Router.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Router.java
@@ -127,18 +127,22 @@
         cache = new ObjectCache(kind.memory(), kind.ttlMicros());
     }
 
+    /** Its name, as the inventory lists it. */
     public String name() {
         return name;
     }
 
+    /** The number of the zone that it stands in. */
     public int zone() {
         return zone;
     }
 
+    /** Its kind: the figures that it shares with others. */
     public RouterKind kind() {
         return kind;
     }
 
+    /** Whether it is up, draining or down. */
     public State state() {
         return state;
     }
@@ -206,10 +210,12 @@
         state = State.DRAINING;
     }
 
+    /** It takes new requests again. */
     public void undrain() {
         state = State.UP;
     }
 
+    /** From now on its work takes so many times as long; 1 for its usual speed. */
     public void slow(double times) {
         slowness = times;
         tune();
@@ -264,6 +270,7 @@
         return Math.min(1, kind.coldShare() + (1 - kind.coldShare()) * Math.max(0, part));
     }
 
+    /** Whether it has started lately and does not have its full capacity yet. */
     public boolean cold() {
         return state != State.DOWN && since > 0 && warmth() < 1;
     }
@@ -506,7 +513,7 @@
                     judge.hostAnswered(due.id, name, false);
                     link.write(FAILED);
                 }
-                case SILENT -> {}
+                default -> {} // SILENT: nothing is written
             }
         }
 
--- a/emulator/src/main/java/baymoor/emulator/world/RouterLoad.java
+++ b/emulator/src/main/java/baymoor/emulator/world/RouterLoad.java
@@ -120,6 +120,7 @@
         }
     }
 
+    /** Latencies of the answered requests in microseconds. */
     public Histogram latencies() {
         return latencies;
     }
--- a/emulator/src/main/java/baymoor/emulator/world/World.java
+++ b/emulator/src/main/java/baymoor/emulator/world/World.java
@@ -134,6 +134,7 @@
                 this::fell);
     }
 
+    /** The place at which the origin listens. */
     public int originPlace() {
         return slots.size();
     }
@@ -150,6 +151,7 @@
                 : place >= 0 && place < slots.size() ? slots.get(place).router.name() : null;
     }
 
+    /** The clients of this world. */
     public Clients clients() {
         return clients;
     }
@@ -159,6 +161,7 @@
         return discovery.listedFor(balancer);
     }
 
+    /** The version of the list that a balancer that starts now last held. */
     public long index(int balancer) {
         return discovery.indexFor(balancer);
     }
--- a/emulator/src/test/java/baymoor/emulator/virtual/ShuffledTest.java
+++ b/emulator/src/test/java/baymoor/emulator/virtual/ShuffledTest.java
@@ -15,8 +15,9 @@
 import org.junit.Test;
 
 /**
- * What is due at once in an order drawn from a seed, under the eyes of the judge: clients that leave, answers, time-outs, lists, drains, ends of
- * connections and planned restarts all fall on one grid of milliseconds, so that they cross all the time.
+ * What is due at once in an order drawn from a seed, under the eyes of the judge: clients that leave, answers, time-outs,
+ * lists, drains, ends of connections and planned restarts all fall on one grid of milliseconds, so that they cross all the
+ * time.
  */
 public class ShuffledTest {
 
--- a/knowledge/src/main/java/baymoor/knowledge/data/Knowledge.java
+++ b/knowledge/src/main/java/baymoor/knowledge/data/Knowledge.java
@@ -30,8 +30,10 @@
 
     /** A time and a support that every item has. */
     public interface Item {
+        /** When it was learned, Unix milliseconds. */
         long learnedAt();
 
+        /** The weight of the observations behind it. */
         double support();
     }
 
--- a/knowledge/src/main/java/baymoor/knowledge/file/Format.java
+++ b/knowledge/src/main/java/baymoor/knowledge/file/Format.java
@@ -47,6 +47,7 @@
 
     private Format() {}
 
+    /** The bytes of a file that holds this knowledge. */
     public static byte[] write(Knowledge k) {
         return frame(payload(k), VERSION);
     }
--- a/knowledge/src/main/java/baymoor/knowledge/policy/Merge.java
+++ b/knowledge/src/main/java/baymoor/knowledge/policy/Merge.java
@@ -42,6 +42,7 @@
         return byTime != 0 ? byTime : Double.compare(a.support(), b.support());
     }
 
+    /** The knowledge of two instances put together. */
     public static Knowledge of(Knowledge a, Knowledge b) {
         TreeSet<String> names = new TreeSet<>(List.of(a.instance().split("\\+")));
         names.addAll(List.of(b.instance().split("\\+")));
