--- a/Makefile
+++ b/Makefile
@@ -11,9 +11,9 @@
 format:
 	mvn -q spotless:apply
 
-# The format, and the compiler with every warning on; a warning is an error here.
+# The format, the rules in checkstyle.xml, and the compiler with every warning on; a warning is an error here.
 lint:
-	mvn -q spotless:check
+	mvn -q spotless:check checkstyle:check@rules
 	mvn -q -DskipTests -Dmaven.compiler.failOnWarning=true clean package
 
 # Needs ROUTER_CONFIG in the environment; the flags are those of deploy/balancer.toml.
