--- a/balancer/src/main/java/baymoor/serve/Rehearsal.java
+++ b/balancer/src/main/java/baymoor/serve/Rehearsal.java
@@ -193,9 +193,9 @@
     }
 
     private final class Host extends Stub {
-        Host(LinkEvents lane) {
-            events = lane;
-            thread.post(lane::opened);
+        Host(LinkEvents listener) {
+            events = listener;
+            thread.post(listener::opened);
         }
 
         @Override
--- a/balancer/src/main/java/baymoor/south/Host.java
+++ b/balancer/src/main/java/baymoor/south/Host.java
@@ -9,10 +9,10 @@
     final long id;
     InetSocketAddress address;
     /** Idle connections, the one used last at the end: that one is taken first, so that the others may age and go. */
-    final Deque<Lane> idle = new ArrayDeque<>();
+    final Deque<HostConnection> idle = new ArrayDeque<>();
 
     final Deque<Relay> waiting = new ArrayDeque<>();
-    int lanes;
+    int connectionCount;
     private final South south;
 
     Host(long id, South south) {
@@ -21,27 +21,27 @@
     }
 
     /** A connection has nothing to do. */
-    void free(Lane lane) {
-        lane.idleSinceMicros = south.time.now();
-        idle.addLast(lane);
+    void free(HostConnection connection) {
+        connection.idleSinceMicros = south.time.now();
+        idle.addLast(connection);
         south.resting.add(this);
         south.serveWaiting();
     }
 
     /** The idle connection used last, or null. */
-    Lane takeIdle() {
-        Lane lane = idle.pollLast();
-        while (lane != null && !lane.clean()) {
-            lane.close();
-            lane = idle.pollLast();
+    HostConnection takeIdle() {
+        HostConnection connection = idle.pollLast();
+        while (connection != null && !connection.clean()) {
+            connection.close();
+            connection = idle.pollLast();
         }
         rested();
-        return lane;
+        return connection;
     }
 
     /** A connection is no longer one that may be taken. */
-    void dropIdle(Lane lane) {
-        idle.remove(lane);
+    void dropIdle(HostConnection connection) {
+        idle.remove(connection);
         rested();
     }
 
@@ -52,8 +52,8 @@
     }
 
     void closeIdle() {
-        for (Lane lane : idle.toArray(new Lane[0])) {
-            lane.close();
+        for (HostConnection connection : idle.toArray(new HostConnection[0])) {
+            connection.close();
         }
     }
 }
--- a/balancer/src/main/java/baymoor/south/Lane.java
+++ b/balancer/src/main/java/baymoor/south/HostConnection.java
@@ -11,7 +11,7 @@
  * One connection to a host. It carries one relay at a time: a request written behind another would wait for that
  * one's answer, and giving either up would break both.
  */
-final class Lane implements LinkEvents {
+final class HostConnection implements LinkEvents {
 
     /**
      * Seen: a second copy of an answer behind it, up to 9.5 ms later (40 of them, two after more than 5 ms, when the connection was
@@ -33,12 +33,12 @@
     private boolean closing;
     long idleSinceMicros;
 
-    Lane(South south, Host host, Codec codec, Relay first) {
+    HostConnection(South south, Host host, Codec codec, Relay first) {
         this.south = south;
         this.host = host;
         this.codec = codec;
         relay = first;
-        first.lane = this;
+        first.connection = this;
     }
 
     void dial() {
@@ -57,9 +57,9 @@
 
     /** Puts a relay on this idle connection. */
     void carry(Relay next) {
-        Invariant.check(up && relay == null && !closing, "a lane carries one relay at a time");
+        Invariant.check(up && relay == null && !closing, "a connection carries one relay at a time");
         relay = next;
-        next.lane = this;
+        next.connection = this;
         begin();
     }
 
@@ -161,8 +161,8 @@
         }
         closing = true;
         host.dropIdle(this);
-        host.lanes--;
-        south.lanes--;
+        host.connectionCount--;
+        south.connectionCount--;
         if (relay != null) {
             Reply end = ending == null ? codec.end() : null;
             Relay broken = relay;
--- a/balancer/src/main/java/baymoor/south/Relay.java
+++ b/balancer/src/main/java/baymoor/south/Relay.java
@@ -13,7 +13,7 @@
     final long untilMicros;
     private final BooleanSupplier wanted;
     Time.Timer timer;
-    Lane lane;
+    HostConnection connection;
     boolean over;
 
     /**
--- a/balancer/src/main/java/baymoor/south/South.java
+++ b/balancer/src/main/java/baymoor/south/South.java
@@ -52,7 +52,7 @@
     private final List<String> reportFields;
     private final Ends ends;
     private final long idleMicros;
-    private final int mostLanes;
+    private final int maxConnections;
     private final Map<Long, Host> hosts = new LinkedHashMap<>();
     private final Map<String, Relay> relays = new HashMap<>();
     /** Hosts for which something waits: a fleet may have a thousand that nothing waits for. */
@@ -61,11 +61,11 @@
     final Set<Host> resting = new LinkedHashSet<>();
 
     private boolean serving;
-    int lanes;
+    int connectionCount;
 
     /**
      * @param originKind the kind in the inventory that marks the origin, or null
-     * @param mostLanes  bound of all connections together
+     * @param maxConnections bound of all connections together
      */
     public South(
             Dialer dialer,
@@ -75,7 +75,7 @@
             String originKind,
             List<String> reportFields,
             Limits limits,
-            int mostLanes,
+            int maxConnections,
             Ends ends) {
         this.dialer = dialer;
         this.time = time;
@@ -83,7 +83,7 @@
         this.inventory = inventory;
         this.originKind = originKind;
         this.reportFields = reportFields;
-        this.mostLanes = mostLanes;
+        this.maxConnections = maxConnections;
         this.ends = ends;
         connectMicros = limits.connectTimeoutMicros() > 0 ? limits.connectTimeoutMicros() : SWEEP_MICROS;
         stallMicros = connectMicros / STALL_PART;
@@ -168,8 +168,8 @@
         if (relay.over) {
             return;
         }
-        if (relay.lane != null) {
-            relay.lane.giveUp(outcome);
+        if (relay.connection != null) {
+            relay.connection.giveUp(outcome);
         } else {
             relay.host.waiting.remove(relay);
             end(relay, Reply.without(outcome == Outcome.TIMED_OUT ? Outcome.NOT_CONNECTED : outcome));
@@ -197,16 +197,16 @@
     /** Finds connections for what waits at a host: idle ones first, then new ones within the bound. */
     private void place(Host host) {
         while (!host.waiting.isEmpty()) {
-            Lane lane = host.takeIdle();
-            if (lane != null) {
-                lane.carry(host.waiting.pollFirst());
-            } else if (lanes < mostLanes || evict(host)) {
-                lanes++;
-                host.lanes++;
+            HostConnection connection = host.takeIdle();
+            if (connection != null) {
+                connection.carry(host.waiting.pollFirst());
+            } else if (connectionCount < maxConnections || evict(host)) {
+                connectionCount++;
+                host.connectionCount++;
                 boolean origin = inventory.apply(host.id).kind().equals(originKind);
                 String at = host.address.getAddress().getHostAddress() + ":" + host.address.getPort();
                 Codec codec = origin ? new OriginCodec(at, reportFields) : new RouterCodec(reportFields);
-                new Lane(this, host, codec, host.waiting.pollFirst()).dial();
+                new HostConnection(this, host, codec, host.waiting.pollFirst()).dial();
             } else {
                 return;
             }
@@ -222,7 +222,7 @@
         for (Host host : resting) {
             if (host != wanting) {
                 host.idle.peekFirst().close();
-                return lanes < mostLanes + MOST_CLOSING;
+                return connectionCount < maxConnections + MOST_CLOSING;
             }
         }
         return false;
@@ -235,7 +235,7 @@
             time.after(0, () -> {
                 serving = false;
                 for (Host host : List.copyOf(wanted)) {
-                    if (lanes >= mostLanes && resting.isEmpty()) {
+                    if (connectionCount >= maxConnections && resting.isEmpty()) {
                         break;
                     }
                     place(host);
@@ -281,12 +281,12 @@
     private void sweep() {
         time.after(SWEEP_MICROS, this::sweep);
         listed();
-        hosts.values().removeIf(h -> !runs(h) && h.lanes == 0 && h.waiting.isEmpty());
+        hosts.values().removeIf(h -> !runs(h) && h.connectionCount == 0 && h.waiting.isEmpty());
         wanted.removeIf(h -> h.waiting.isEmpty()); // what waited there was given up
         for (Host host : hosts.values()) {
-            for (Lane lane : host.idle.toArray(new Lane[0])) {
-                if (time.now() - lane.idleSinceMicros > idleMicros) {
-                    lane.close();
+            for (HostConnection connection : host.idle.toArray(new HostConnection[0])) {
+                if (time.now() - connection.idleSinceMicros > idleMicros) {
+                    connection.close();
                 }
             }
         }
--- a/balancer/src/test/java/baymoor/south/SouthTest.java
+++ b/balancer/src/test/java/baymoor/south/SouthTest.java
@@ -34,7 +34,7 @@
     private final Set<String> unwanted = new HashSet<>();
     private South south = south(10);
 
-    private South south(int mostLanes) {
+    private South south(int maxConnections) {
         list(ROUTER, "two-core", State.RUNNING);
         list(ORIGIN, "origin", State.RUNNING);
         return new South(
@@ -50,7 +50,7 @@
                 "origin",
                 List.of(),
                 new Limits(5, 0, false, true, true, true, true, 0, 250_000, 30_000_000, 32, 0, 0),
-                mostLanes,
+                maxConnections,
                 new South.Ends() {
                     @Override
                     public void relayEnded(String request, int attempt, long host, Reply reply, long latencyMicros) {
