Rename: south Relay is Attempt, Ends is Listener

Change: names and the word in comments only; the counters' outward names (relays, relays_served and their like) stay, as operators read them.

--- a/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
+++ b/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
@@ -44,12 +44,12 @@
 import merlinstep.Decisions.WatchServers;
 
 /** Stands between the decisions and all else: hands them every event and carries out what they order, in order. */
-public final class Dispatcher implements Intake, South.Ends, Decisions.Sink {
+public final class Dispatcher implements Intake, South.Listener, Decisions.Sink {
 
     /** Where the decisions fail on a timer, it comes again after this long, or their clockwork would stand still. */
     private static final long TIMER_AGAIN_MICROS = 50_000;
 
-    /** A request that the decisions know of, or one of whose relays is still out. */
+    /** A request that the decisions know of, or one of whose attempts is still out. */
     private static final class Open {
         final long ticket;
         final Taken taken;
@@ -162,9 +162,9 @@
     }
 
     @Override
-    public void relayEnded(String request, int attempt, long host, Reply reply, long latencyMicros) {
+    public void attemptEnded(String request, int attempt, long host, Reply reply, long latencyMicros) {
         Open r = requests.get(request);
-        if (!Invariant.check(r != null && r.out > 0, "a relay ends once, before its request is forgotten")) {
+        if (!Invariant.check(r != null && r.out > 0, "an attempt ends once, before its request is forgotten")) {
             return;
         }
         r.out--;
@@ -269,12 +269,12 @@
         }
         long now = time.now();
         boolean alone =
-                limits.secondCopies() || Invariant.check(r.out == 0, "no two relays of one request are out together");
+                limits.secondCopies() || Invariant.check(r.out == 0, "no two attempts of one request are out together");
         int attempt = r.attempts++;
         r.out++;
         if (r.done || !alone || attempt >= limits.maxAttempts() || now >= r.taken.deadlineMicros()) {
             Reply unsent = new Reply(Outcome.NOT_SENT, null, 0, new double[0], false);
-            time.after(0, () -> relayEnded(a.request(), attempt, a.server(), unsent, 0));
+            time.after(0, () -> attemptEnded(a.request(), attempt, a.server(), unsent, 0));
             return;
         }
         long most = r.taken.deadlineMicros() - now;
--- a/balancer/src/main/java/baymoor/net/DecisionThread.java
+++ b/balancer/src/main/java/baymoor/net/DecisionThread.java
@@ -119,7 +119,7 @@
             Due due = timers.peek();
             Posted next = next();
             // Seen: while this thread was held up, answers that had come in waited here, and the time-outs of their
-            // relays went first. What happened first is told first.
+            // attempts went first. What happened first is told first.
             if (due != null && due.atMicros <= now && (next == null || due.atMicros < next.atMicros)) {
                 timers.poll();
                 Runnable task = due.task;
--- a/balancer/src/main/java/baymoor/north/North.java
+++ b/balancer/src/main/java/baymoor/north/North.java
@@ -175,7 +175,7 @@
                 });
     }
 
-    /** Whether a request with this id is still open, or one of its relays out. */
+    /** Whether a request with this id is still open, or one of its attempts out. */
     boolean open(String id) {
         return intake.open(id);
     }
--- a/balancer/src/main/java/baymoor/south/Relay.java
+++ b/balancer/src/main/java/baymoor/south/Attempt.java
@@ -4,9 +4,9 @@
 import java.util.function.BooleanSupplier;
 
 /** One attempt of a request at one host. */
-final class Relay {
-    final String request;
-    final int attempt;
+final class Attempt {
+    final String requestId;
+    final int number;
     final Host host;
     final Parcel parcel;
     final long startedMicros;
@@ -20,17 +20,17 @@
      * @param parcel null for a probe
      * @param wanted whether it may still begin, as far as the request goes
      */
-    Relay(
-            String request,
-            int attempt,
+    Attempt(
+            String requestId,
+            int number,
             Host host,
             Parcel parcel,
             long startedMicros,
             long untilMicros,
             BooleanSupplier wanted) {
         this.wanted = wanted;
-        this.request = request;
-        this.attempt = attempt;
+        this.requestId = requestId;
+        this.number = number;
         this.host = host;
         this.parcel = parcel;
         this.startedMicros = startedMicros;
--- a/balancer/src/main/java/baymoor/south/Host.java
+++ b/balancer/src/main/java/baymoor/south/Host.java
@@ -11,7 +11,7 @@
     /** Idle connections, the one used last at the end: that one is taken first, so that the others may age and go. */
     final Deque<HostConnection> idle = new ArrayDeque<>();
 
-    final Deque<Relay> waiting = new ArrayDeque<>();
+    final Deque<Attempt> waiting = new ArrayDeque<>();
     int connectionCount;
     private final South south;
 
--- a/balancer/src/main/java/baymoor/south/HostConnection.java
+++ b/balancer/src/main/java/baymoor/south/HostConnection.java
@@ -8,14 +8,14 @@
 import merlinstep.Decisions.Outcome;
 
 /**
- * One connection to a host. It carries one relay at a time: a request written behind another would wait for that
+ * One connection to a host. It carries one attempt at a time: a request written behind another would wait for that
  * one's answer, and giving either up would break both.
  */
 final class HostConnection implements LinkEvents {
 
     /**
      * Seen: a second copy of an answer behind it, up to 9.5 ms later (40 of them, two after more than 5 ms, when the connection was
-     * free again). A connection that went on would take it for the next relay's answer, so it rests first, twice that long: what
+     * free again). A connection that went on would take it for the next attempt's answer, so it rests first, twice that long: what
      * comes meanwhile closes it. Answers take ten times that, so few more connections are held.
      */
     private static final long REST_MICROS = 20_000;
@@ -26,18 +26,18 @@
     private Link link;
     private Time.Timer connecting;
     private Time.Timer stalling;
-    private Relay relay;
+    private Attempt attempt;
     private Outcome ending;
     private boolean up;
     private boolean written;
     private boolean closing;
     long idleSinceMicros;
 
-    HostConnection(South south, Host host, Codec codec, Relay first) {
+    HostConnection(South south, Host host, Codec codec, Attempt first) {
         this.south = south;
         this.host = host;
         this.codec = codec;
-        relay = first;
+        attempt = first;
         first.connection = this;
     }
 
@@ -55,30 +55,30 @@
         return !link.unread() && !link.over();
     }
 
-    /** Puts a relay on this idle connection. */
-    void carry(Relay next) {
-        Invariant.check(up && relay == null && !closing, "a connection carries one relay at a time");
-        relay = next;
+    /** Puts an attempt on this idle connection. */
+    void carry(Attempt next) {
+        Invariant.check(up && attempt == null && !closing, "a connection carries one attempt at a time");
+        attempt = next;
         next.connection = this;
         begin();
     }
 
     private void begin() {
         // Looked at again as the bytes leave: while it waited for a connection the host may have begun to drain.
-        if (!south.mayStart(relay)) {
-            Relay refused = relay;
-            relay = null;
+        if (!south.mayStart(attempt)) {
+            Attempt refused = attempt;
+            attempt = null;
             host.free(this);
             south.time.after(0, () -> south.end(refused, Reply.without(Outcome.NOT_SENT)));
             return;
         }
         written = false;
         // Rounded down: a host must not be told of more time than the attempt is waited for.
-        long waitMillis = Math.max(1, (relay.untilMicros - south.time.now()) / 1000);
-        link.write(relay.probe() ? codec.probe() : codec.request(relay.parcel, waitMillis));
+        long waitMillis = Math.max(1, (attempt.untilMicros - south.time.now()) / 1000);
+        link.write(attempt.probe() ? codec.probe() : codec.request(attempt.parcel, waitMillis));
     }
 
-    /** Ends the relay by closing its connection; its end is told once the connection is closed, not before. */
+    /** Ends the attempt by closing its connection; its end is told once the connection is closed, not before. */
     void giveUp(Outcome outcome) {
         // Danger: told at once, the next attempt could leave while this one's connection is still open.
         ending = outcome;
@@ -109,8 +109,8 @@
         if (closing) {
             return;
         }
-        if (relay == null) {
-            // Danger: what nobody waits for must not become the answer of the next relay.
+        if (attempt == null) {
+            // Danger: what nobody waits for must not become the answer of the next attempt.
             south.counters.add(Count.ANSWERS_UNASKED);
             close();
             return;
@@ -123,8 +123,8 @@
             stalling = south.time.after(south.stallMicros, this::stalled);
             return;
         }
-        Relay answered = relay;
-        relay = null;
+        Attempt answered = attempt;
+        attempt = null;
         if (reply.reusable() && written && clean()) {
             south.time.after(REST_MICROS, this::rested);
         } else {
@@ -142,7 +142,7 @@
     }
 
     private void stalled() {
-        if (!closing && relay != null) {
+        if (!closing && attempt != null) {
             south.counters.add(Count.ANSWERS_STALLED);
             giveUp(Outcome.ERROR);
         }
@@ -163,10 +163,10 @@
         host.dropIdle(this);
         host.connectionCount--;
         south.connectionCount--;
-        if (relay != null) {
+        if (attempt != null) {
             Reply end = ending == null ? codec.end() : null;
-            Relay broken = relay;
-            relay = null;
+            Attempt broken = attempt;
+            attempt = null;
             // Whether it may have run turns on its last byte: before that nothing can have begun. Danger: that byte may
             // leave while the connection is being given up, and its word comes before the word of the close, so this
             // is judged here and not when the time-out fell due.
--- a/balancer/src/main/java/baymoor/south/Reply.java
+++ b/balancer/src/main/java/baymoor/south/Reply.java
@@ -3,8 +3,8 @@
 import merlinstep.Decisions.Outcome;
 
 /**
- * How a relay ended. {@code note}: 1 hit, 2 miss, 3 miss while being fetched, 0 not told. {@code reusable}: the
- * connection may carry the next relay.
+ * How an attempt ended. {@code note}: 1 hit, 2 miss, 3 miss while being fetched, 0 not told. {@code reusable}: the
+ * connection may carry the next attempt.
  */
 public record Reply(Outcome outcome, byte[] value, int note, double[] report, boolean reusable) {
 
--- a/balancer/src/main/java/baymoor/south/RouterCodec.java
+++ b/balancer/src/main/java/baymoor/south/RouterCodec.java
@@ -64,12 +64,12 @@
             boolean readable = READABLE.matcher(failure.text()).matches();
             return new Reply(busy ? Outcome.FULL : Outcome.ERROR, null, 0, NONE, clean && readable);
         }
-        Reply reply = probing ? probed(answer, clean) : relayed(answer, clean);
+        Reply reply = probing ? probeReply(answer, clean) : attemptReply(answer, clean);
         return reply == null ? Reply.without(Outcome.ERROR) : reply;
     }
 
     /** Value or receipt, how it went, load report; null if it is anything else. */
-    private Reply relayed(Resp answer, boolean clean) {
+    private Reply attemptReply(Resp answer, boolean clean) {
         if (!(answer instanceof Resp.Many many)
                 || many.items() == null
                 || many.items().size() != ANSWER_ITEMS
@@ -91,7 +91,7 @@
     }
 
     /** A sign of life or a load report; null if it is anything else. */
-    private Reply probed(Resp answer, boolean clean) {
+    private Reply probeReply(Resp answer, boolean clean) {
         if (answer instanceof Resp.Bulk bulk && bulk.bytes() != null && !reportFields.isEmpty()) {
             return new Reply(Outcome.SERVED, null, 0, LoadReport.parse(text(bulk), reportFields), clean);
         }
--- a/balancer/src/main/java/baymoor/south/South.java
+++ b/balancer/src/main/java/baymoor/south/South.java
@@ -17,13 +17,13 @@
 import merlinstep.Decisions.Outcome;
 import merlinstep.Decisions.State;
 
-/** The hosts of the south side: starts relays, bounds their connections and time, and tells how each ended. */
+/** The hosts of the south side: starts attempts, bounds their connections and time, and tells how each ended. */
 public final class South {
 
-    /** Hears how relays and probes ended; never while one of this class's methods is being called. */
-    public interface Ends {
+    /** Hears how attempts and probes ended; never while one of this class's methods is being called. */
+    public interface Listener {
         /** An attempt has ended; nothing of it is out any more. */
-        void relayEnded(String request, int attempt, long host, Reply reply, long latencyMicros);
+        void attemptEnded(String request, int attempt, long host, Reply reply, long latencyMicros);
 
         /** A probe has ended. */
         void probeEnded(long host, Reply reply, long latencyMicros);
@@ -50,11 +50,11 @@
     private final LongFunction<Inventory.Entry> inventory;
     private final String originKind;
     private final List<String> reportFields;
-    private final Ends ends;
+    private final Listener listener;
     private final long idleMicros;
     private final int maxConnections;
     private final Map<Long, Host> hosts = new LinkedHashMap<>();
-    private final Map<String, Relay> relays = new HashMap<>();
+    private final Map<String, Attempt> attempts = new HashMap<>();
     /** Hosts for which something waits: a fleet may have a thousand that nothing waits for. */
     private final Set<Host> wanted = new LinkedHashSet<>();
     /** Hosts with idle connections. */
@@ -76,7 +76,7 @@
             List<String> reportFields,
             Limits limits,
             int maxConnections,
-            Ends ends) {
+            Listener listener) {
         this.dialer = dialer;
         this.time = time;
         this.counters = counters;
@@ -84,7 +84,7 @@
         this.originKind = originKind;
         this.reportFields = reportFields;
         this.maxConnections = maxConnections;
-        this.ends = ends;
+        this.listener = listener;
         connectMicros = limits.connectTimeoutMicros() > 0 ? limits.connectTimeoutMicros() : SWEEP_MICROS;
         stallMicros = connectMicros / STALL_PART;
         long idle = limits.idleCloseMicros() > 0 ? limits.idleCloseMicros() : Long.MAX_VALUE;
@@ -97,43 +97,44 @@
      *
      * @param wanted asked as its bytes are about to leave, which may be long after this: whether it may still begin
      */
-    public void send(String request, int attempt, long id, Parcel parcel, long untilMicros, BooleanSupplier wanted) {
+    public void send(
+            String request, int attemptNumber, long id, Parcel parcel, long untilMicros, BooleanSupplier wanted) {
         counters.add(Count.RELAYS);
-        Relay relay = new Relay(request, attempt, host(id), parcel, time.now(), untilMicros, wanted);
-        relays.put(name(request, attempt), relay);
-        start(relay);
+        Attempt attempt = new Attempt(request, attemptNumber, host(id), parcel, time.now(), untilMicros, wanted);
+        attempts.put(name(request, attemptNumber), attempt);
+        start(attempt);
     }
 
     /** Asks a host for its load report. */
     public void probe(long id) {
         counters.add(Count.PROBES);
-        start(new Relay(null, 0, host(id), null, time.now(), time.now() + PROBE_MICROS, () -> true));
+        start(new Attempt(null, 0, host(id), null, time.now(), time.now() + PROBE_MICROS, () -> true));
     }
 
-    private void start(Relay relay) {
-        if (relay.host.address == null) { // no list has named it
-            time.after(0, () -> end(relay, Reply.without(Outcome.NOT_SENT)));
+    private void start(Attempt attempt) {
+        if (attempt.host.address == null) { // no list has named it
+            time.after(0, () -> end(attempt, Reply.without(Outcome.NOT_SENT)));
             return;
         }
-        relay.timer = time.after(relay.untilMicros - time.now(), () -> giveUp(relay, Outcome.TIMED_OUT));
-        relay.host.waiting.addLast(relay);
-        wanted.add(relay.host);
-        place(relay.host);
+        attempt.timer = time.after(attempt.untilMicros - time.now(), () -> giveUp(attempt, Outcome.TIMED_OUT));
+        attempt.host.waiting.addLast(attempt);
+        wanted.add(attempt.host);
+        place(attempt.host);
     }
 
     /** Stops waiting for an attempt; its end follows. */
-    public void cancel(String request, int attempt) {
-        Relay relay = relays.get(name(request, attempt));
-        if (relay != null) {
-            time.after(0, () -> giveUp(relay, Outcome.CANCELLED));
+    public void cancel(String request, int attemptNumber) {
+        Attempt attempt = attempts.get(name(request, attemptNumber));
+        if (attempt != null) {
+            time.after(0, () -> giveUp(attempt, Outcome.CANCELLED));
         }
     }
 
     /** An attempt is not wanted any more: it leaves the queue for a connection; what has begun ends by itself. */
-    public void withdraw(String request, int attempt) {
-        Relay relay = relays.get(name(request, attempt));
-        if (relay != null && relay.host.waiting.remove(relay)) {
-            time.after(0, () -> end(relay, Reply.without(Outcome.NOT_SENT)));
+    public void withdraw(String request, int attemptNumber) {
+        Attempt attempt = attempts.get(name(request, attemptNumber));
+        if (attempt != null && attempt.host.waiting.remove(attempt)) {
+            time.after(0, () -> end(attempt, Reply.without(Outcome.NOT_SENT)));
         }
     }
 
@@ -164,15 +165,15 @@
         return hosts.containsKey(id);
     }
 
-    private void giveUp(Relay relay, Outcome outcome) {
-        if (relay.over) {
+    private void giveUp(Attempt attempt, Outcome outcome) {
+        if (attempt.over) {
             return;
         }
-        if (relay.connection != null) {
-            relay.connection.giveUp(outcome);
+        if (attempt.connection != null) {
+            attempt.connection.giveUp(outcome);
         } else {
-            relay.host.waiting.remove(relay);
-            end(relay, Reply.without(outcome == Outcome.TIMED_OUT ? Outcome.NOT_CONNECTED : outcome));
+            attempt.host.waiting.remove(attempt);
+            end(attempt, Reply.without(outcome == Outcome.TIMED_OUT ? Outcome.NOT_CONNECTED : outcome));
         }
     }
 
@@ -189,9 +190,9 @@
         return host;
     }
 
-    /** Whether a relay may still begin at a host: not where that drains or is gone by now, nor for a client that is. */
-    boolean mayStart(Relay relay) {
-        return relay.wanted() && runs(relay.host) && time.now() < relay.untilMicros;
+    /** Whether an attempt may still begin at a host: not where that drains or is gone by now, nor for a client that is. */
+    boolean mayStart(Attempt attempt) {
+        return attempt.wanted() && runs(attempt.host) && time.now() < attempt.untilMicros;
     }
 
     /** Finds connections for what waits at a host: idle ones first, then new ones within the bound. */
@@ -244,21 +245,21 @@
         }
     }
 
-    /** Tells the end of a relay, which no later event may do again. */
-    void end(Relay relay, Reply reply) {
-        if (relay.over) {
+    /** Tells the end of an attempt, which no later event may do again. */
+    void end(Attempt attempt, Reply reply) {
+        if (attempt.over) {
             return;
         }
-        relay.over = true;
-        if (relay.timer != null) {
-            relay.timer.cancel();
+        attempt.over = true;
+        if (attempt.timer != null) {
+            attempt.timer.cancel();
         }
-        long latency = time.now() - relay.startedMicros;
-        if (relay.probe()) {
-            ends.probeEnded(relay.host.id, reply, latency);
+        long latency = time.now() - attempt.startedMicros;
+        if (attempt.probe()) {
+            listener.probeEnded(attempt.host.id, reply, latency);
             return;
         }
-        relays.remove(name(relay.request, relay.attempt));
+        attempts.remove(name(attempt.requestId, attempt.number));
         counters.add(
                 switch (reply.outcome()) {
                     case SERVED -> Count.RELAYS_SERVED;
@@ -271,11 +272,11 @@
                     case CANCELLED -> Count.RELAYS_CANCELLED;
                     case NOT_SENT -> Count.RELAYS_NOT_SENT;
                 });
-        ends.relayEnded(relay.request, relay.attempt, relay.host.id, reply, latency);
+        listener.attemptEnded(attempt.requestId, attempt.number, attempt.host.id, reply, latency);
     }
 
-    private static String name(String request, int attempt) {
-        return attempt + "/" + request;
+    private static String name(String request, int attemptNumber) {
+        return attemptNumber + "/" + request;
     }
 
     private void sweep() {
--- a/balancer/src/test/java/baymoor/south/SouthTest.java
+++ b/balancer/src/test/java/baymoor/south/SouthTest.java
@@ -51,9 +51,9 @@
                 List.of(),
                 new Limits(5, 0, false, true, true, true, true, 0, 250_000, 30_000_000, 32, 0, 0),
                 maxConnections,
-                new South.Ends() {
+                new South.Listener() {
                     @Override
-                    public void relayEnded(String request, int attempt, long host, Reply reply, long latencyMicros) {
+                    public void attemptEnded(String request, int attempt, long host, Reply reply, long latencyMicros) {
                         String value = reply.value() == null ? "" : " " + new String(reply.value());
                         ended.add(request + " " + reply.outcome() + value);
                     }
@@ -88,7 +88,7 @@
         return link;
     }
 
-    /** An answered connection rests for a moment before it may carry the next relay. */
+    /** An answered connection rests for a moment before it may carry the next attempt. */
     private void rest() {
         time.pass(20_000);
     }
@@ -134,7 +134,7 @@
         }
     }
 
-    /** Danger: what the driver has read already, and the decisions not heard of, would be the next relay's answer. */
+    /** Danger: what the driver has read already, and the decisions not heard of, would be the next attempt's answer. */
     @Test
     public void anIdleConnectionOnWhichSomethingCameOrThatIsOverIsNotTaken() {
         for (int i = 0; i < 2; i++) {
@@ -292,7 +292,7 @@
     }
 
     @Test
-    public void whatNobodyWaitsForNeverAnswersTheNextRelay() {
+    public void whatNobodyWaitsForNeverAnswersTheNextAttempt() {
         FakeLink link = sendAndWrite("r", ROUTER);
         link.in(HIT);
         ends();
@@ -314,7 +314,7 @@
     }
 
     @Test
-    public void aCopyThatComesSomeMillisecondsLateFindsNoRelayToAnswer() {
+    public void aCopyThatComesSomeMillisecondsLateFindsNoAttemptToAnswer() {
         FakeLink link = sendAndWrite("a", ROUTER);
         link.in(HIT);
         assertEquals("a SERVED v", ends());
@@ -330,7 +330,7 @@
     }
 
     @Test
-    public void aCopyRightBehindAnAnswerFindsNoRelayToAnswer() {
+    public void aCopyRightBehindAnAnswerFindsNoAttemptToAnswer() {
         FakeLink link = sendAndWrite("r", ROUTER);
         link.in(HIT);
         assertEquals("r SERVED v", ends());
@@ -375,7 +375,7 @@
         FakeLink next = send("s", 3, null);
         assertTrue("a connection of its own", next != null);
         time.pass(1_000_000);
-        assertTrue("its relay is still out", south.uses(ROUTER));
+        assertTrue("its attempt is still out", south.uses(ROUTER));
         link.events.closed();
         time.pass(1_000_000);
         assertFalse(south.uses(ROUTER));
@@ -383,7 +383,7 @@
     }
 
     @Test
-    public void pastTheBoundRelaysWaitForAConnection() {
+    public void pastTheBoundAttemptsWaitForAConnection() {
         south = south(1);
         FakeLink link = sendAndWrite("r", ROUTER);
         assertEquals(null, send("s", ROUTER, null));
