--- a/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
+++ b/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
@@ -10,8 +10,8 @@
 import baymoor.north.North;
 import baymoor.north.Taken;
 import baymoor.peers.Peers;
-import baymoor.south.Parcel;
 import baymoor.south.Reply;
+import baymoor.south.RequestContent;
 import baymoor.south.South;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -284,7 +284,7 @@
                 a.request(),
                 attempt,
                 a.server(),
-                new Parcel(t.key(), t.id(), t.facts(), t.value()),
+                new RequestContent(t.key(), t.id(), t.facts(), t.value()),
                 now + wait,
                 () -> mayBegin(r));
     }
--- a/balancer/src/main/java/baymoor/south/Attempt.java
+++ b/balancer/src/main/java/baymoor/south/Attempt.java
@@ -8,7 +8,7 @@
     final String requestId;
     final int number;
     final Host host;
-    final Parcel parcel;
+    final RequestContent content;
     final long startedMicros;
     final long untilMicros;
     private final BooleanSupplier wanted;
@@ -17,14 +17,14 @@
     boolean over;
 
     /**
-     * @param parcel null for a probe
+     * @param content null for a probe
      * @param wanted whether it may still begin, as far as the request goes
      */
     Attempt(
             String requestId,
             int number,
             Host host,
-            Parcel parcel,
+            RequestContent content,
             long startedMicros,
             long untilMicros,
             BooleanSupplier wanted) {
@@ -32,7 +32,7 @@
         this.requestId = requestId;
         this.number = number;
         this.host = host;
-        this.parcel = parcel;
+        this.content = content;
         this.startedMicros = startedMicros;
         this.untilMicros = untilMicros;
     }
@@ -42,6 +42,6 @@
     }
 
     boolean probe() {
-        return parcel == null;
+        return content == null;
     }
 }
--- a/balancer/src/main/java/baymoor/south/Codec.java
+++ b/balancer/src/main/java/baymoor/south/Codec.java
@@ -4,7 +4,7 @@
 interface Codec {
 
     /** @param waitMillis how long the balancer will wait for the answer */
-    byte[] request(Parcel parcel, long waitMillis);
+    byte[] request(RequestContent content, long waitMillis);
 
     /** A question for the load report, or a sign of life where there are none. */
     byte[] probe();
--- a/balancer/src/main/java/baymoor/south/HostConnection.java
+++ b/balancer/src/main/java/baymoor/south/HostConnection.java
@@ -75,7 +75,7 @@
         written = false;
         // Rounded down: a host must not be told of more time than the attempt is waited for.
         long waitMillis = Math.max(1, (attempt.untilMicros - south.time.now()) / 1000);
-        link.write(attempt.probe() ? codec.probe() : codec.request(attempt.parcel, waitMillis));
+        link.write(attempt.probe() ? codec.probe() : codec.request(attempt.content, waitMillis));
     }
 
     /** Ends the attempt by closing its connection; its end is told once the connection is closed, not before. */
--- a/balancer/src/main/java/baymoor/south/OriginCodec.java
+++ b/balancer/src/main/java/baymoor/south/OriginCodec.java
@@ -26,13 +26,13 @@
     }
 
     @Override
-    public byte[] request(Parcel parcel, long waitMillis) {
+    public byte[] request(RequestContent content, long waitMillis) {
         // In one order always: Map.of has another one in each JVM, and what crosses the wire should be the same.
         Map<String, String> headers = new LinkedHashMap<>();
-        headers.put("X-Correlation-Id", parcel.id());
-        headers.put("X-Facts", parcel.factsOnWire(waitMillis));
-        String target = "/" + RequestWriter.segment(parcel.key());
-        return RequestWriter.request(parcel.value() == null ? "GET" : "PUT", target, host, headers, parcel.value());
+        headers.put("X-Correlation-Id", content.id());
+        headers.put("X-Facts", content.factsOnWire(waitMillis));
+        String target = "/" + RequestWriter.segment(content.key());
+        return RequestWriter.request(content.value() == null ? "GET" : "PUT", target, host, headers, content.value());
     }
 
     @Override
--- a/balancer/src/main/java/baymoor/south/Parcel.java
+++ b/balancer/src/main/java/baymoor/south/RequestContent.java
@@ -5,7 +5,7 @@
 import java.util.stream.Collectors;
 
 /** What an attempt carries: key, id, facts in their order, and the value of a write, or null for a read. */
-public record Parcel(String key, String id, Map<String, String> facts, byte[] value) {
+public record RequestContent(String key, String id, Map<String, String> facts, byte[] value) {
 
     private static final String DEADLINE = "d";
 
--- a/balancer/src/main/java/baymoor/south/RouterCodec.java
+++ b/balancer/src/main/java/baymoor/south/RouterCodec.java
@@ -29,14 +29,14 @@
     }
 
     @Override
-    public byte[] request(Parcel parcel, long waitMillis) {
+    public byte[] request(RequestContent content, long waitMillis) {
         probing = false;
-        byte[] key = RespWriter.ascii(parcel.key());
-        byte[] id = RespWriter.ascii(parcel.id());
-        byte[] list = RespWriter.ascii(parcel.factsOnWire(waitMillis));
-        return parcel.value() == null
+        byte[] key = RespWriter.ascii(content.key());
+        byte[] id = RespWriter.ascii(content.id());
+        byte[] list = RespWriter.ascii(content.factsOnWire(waitMillis));
+        return content.value() == null
                 ? RespWriter.command(RespWriter.ascii("OBJ.GET"), key, id, list)
-                : RespWriter.command(RespWriter.ascii("OBJ.SET"), key, id, list, parcel.value());
+                : RespWriter.command(RespWriter.ascii("OBJ.SET"), key, id, list, content.value());
     }
 
     @Override
--- a/balancer/src/main/java/baymoor/south/South.java
+++ b/balancer/src/main/java/baymoor/south/South.java
@@ -98,9 +98,14 @@
      * @param wanted asked as its bytes are about to leave, which may be long after this: whether it may still begin
      */
     public void send(
-            String request, int attemptNumber, long id, Parcel parcel, long untilMicros, BooleanSupplier wanted) {
+            String request,
+            int attemptNumber,
+            long id,
+            RequestContent content,
+            long untilMicros,
+            BooleanSupplier wanted) {
         counters.add(Count.RELAYS);
-        Attempt attempt = new Attempt(request, attemptNumber, host(id), parcel, time.now(), untilMicros, wanted);
+        Attempt attempt = new Attempt(request, attemptNumber, host(id), content, time.now(), untilMicros, wanted);
         attempts.put(name(request, attemptNumber), attempt);
         start(attempt);
     }
--- a/balancer/src/test/java/baymoor/south/SouthTest.java
+++ b/balancer/src/test/java/baymoor/south/SouthTest.java
@@ -75,7 +75,7 @@
                 request,
                 0,
                 host,
-                new Parcel("k", request, Map.of("d", "9"), value),
+                new RequestContent("k", request, Map.of("d", "9"), value),
                 time.now() + 800_000,
                 () -> !unwanted.contains(request));
         return links.size() > before ? links.get(before) : null;
@@ -124,7 +124,13 @@
         for (long host : new long[] {ROUTER, ORIGIN}) {
             String request = "told" + host;
             long untilMicros = time.now() + 800_000;
-            south.send(request, 1, host, new Parcel("k", request, Map.of("d", "1400"), null), untilMicros, () -> true);
+            south.send(
+                    request,
+                    1,
+                    host,
+                    new RequestContent("k", request, Map.of("d", "1400"), null),
+                    untilMicros,
+                    () -> true);
             FakeLink link = links.get(links.size() - 1);
             time.pass(200_000);
             link.events.opened();
