south: plain names inside the package, and comments in ordinary English

Change: private names (abort, reusable, deadlineMicros, hostsWithIdle and their like) and comments; no code besides.

--- a/balancer/src/main/java/baymoor/south/Attempt.java
+++ b/balancer/src/main/java/baymoor/south/Attempt.java
@@ -3,22 +3,22 @@
 import baymoor.link.Time;
 import java.util.function.BooleanSupplier;
 
-/** One attempt of a request at one host. */
+/** One attempt to have a request answered by one host, or a probe of it. */
 final class Attempt {
     final String requestId;
     final int number;
     final Host host;
     final RequestContent content;
     final long startedMicros;
-    final long untilMicros;
+    final long deadlineMicros;
     private final BooleanSupplier wanted;
     Time.Timer timer;
     HostConnection connection;
-    boolean over;
+    boolean ended;
 
     /**
      * @param content null for a probe
-     * @param wanted whether it may still begin, as far as the request goes
+     * @param wanted  whether the request still needs this attempt, asked right before it is sent
      */
     Attempt(
             String requestId,
@@ -26,7 +26,7 @@
             Host host,
             RequestContent content,
             long startedMicros,
-            long untilMicros,
+            long deadlineMicros,
             BooleanSupplier wanted) {
         this.wanted = wanted;
         this.requestId = requestId;
@@ -34,7 +34,7 @@
         this.host = host;
         this.content = content;
         this.startedMicros = startedMicros;
-        this.untilMicros = untilMicros;
+        this.deadlineMicros = deadlineMicros;
     }
 
     boolean wanted() {
--- a/balancer/src/main/java/baymoor/south/Codec.java
+++ b/balancer/src/main/java/baymoor/south/Codec.java
@@ -1,17 +1,21 @@
 package baymoor.south;
 
-/** The protocol of one connection to a host: one request at a time, bytes in, a reply out. */
+/** Encodes requests to a host and decodes its answers. One instance serves one connection, one request at a time. */
 interface Codec {
 
-    /** @param waitMillis how long the balancer will wait for the answer */
+    /**
+     * Encodes a request.
+     *
+     * @param waitMillis how long the balancer will wait for the answer, in milliseconds
+     */
     byte[] request(RequestContent content, long waitMillis);
 
-    /** A question for the load report, or a sign of life where there are none. */
+    /** A request for the load report, or a ping where the host gives none. */
     byte[] probe();
 
-    /** The reply once it is whole, else null. Bytes that can't be read make an ERROR that is not reusable. */
+    /** Decodes more bytes: the reply once it is complete, else null. Malformed bytes give an ERROR that is not reusable. */
     Reply feed(byte[] bytes);
 
-    /** The connection has ended: a reply that the end completes, else null. */
+    /** Handles the end of the connection: a reply that the end completes, else null. */
     Reply end();
 }
--- a/balancer/src/main/java/baymoor/south/Host.java
+++ b/balancer/src/main/java/baymoor/south/Host.java
@@ -4,11 +4,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
-/** A south side host and its connections. */
+/** A router or the origin, with its idle connections and the attempts that wait for one. */
 final class Host {
     final long id;
     InetSocketAddress address;
-    /** Idle connections, the one used last at the end: that one is taken first, so that the others may age and go. */
+    /** Idle connections, the most recently used one last. That one is reused first, so that surplus connections time out. */
     final Deque<HostConnection> idle = new ArrayDeque<>();
 
     final Deque<Attempt> waiting = new ArrayDeque<>();
@@ -20,18 +20,18 @@
         this.south = south;
     }
 
-    /** A connection has nothing to do. */
-    void free(HostConnection connection) {
+    /** Adds a connection to the idle ones. */
+    void release(HostConnection connection) {
         connection.idleSinceMicros = south.time.now();
         idle.addLast(connection);
-        south.resting.add(this);
+        south.hostsWithIdle.add(this);
         south.serveWaiting();
     }
 
-    /** The idle connection used last, or null. */
+    /** Removes and returns the most recently used idle connection that can be reused, or null. */
     HostConnection takeIdle() {
         HostConnection connection = idle.pollLast();
-        while (connection != null && !connection.clean()) {
+        while (connection != null && !connection.reusable()) {
             connection.close();
             connection = idle.pollLast();
         }
@@ -39,7 +39,7 @@
         return connection;
     }
 
-    /** A connection is no longer one that may be taken. */
+    /** Removes a connection from the idle ones, if it is one of them. */
     void dropIdle(HostConnection connection) {
         idle.remove(connection);
         rested();
@@ -47,7 +47,7 @@
 
     private void rested() {
         if (idle.isEmpty()) {
-            south.resting.remove(this);
+            south.hostsWithIdle.remove(this);
         }
     }
 
--- a/balancer/src/main/java/baymoor/south/HostConnection.java
+++ b/balancer/src/main/java/baymoor/south/HostConnection.java
@@ -8,15 +8,16 @@
 import merlinstep.Decisions.Outcome;
 
 /**
- * One connection to a host. It carries one attempt at a time: a request written behind another would wait for that
- * one's answer, and giving either up would break both.
+ * One connection to a host. It carries one attempt at a time and does not pipeline: a second request would wait for the
+ * answer to the first, and aborting either of them would abort both.
  */
 final class HostConnection implements LinkEvents {
 
     /**
-     * Seen: a second copy of an answer behind it, up to 9.5 ms later (40 of them, two after more than 5 ms, when the connection was
-     * free again). A connection that went on would take it for the next attempt's answer, so it rests first, twice that long: what
-     * comes meanwhile closes it. Answers take ten times that, so few more connections are held.
+     * How long a connection stays unused after an answer. Routers have been observed to send an answer twice, the second copy up
+     * to 9.5 ms after the first (40 cases, two of them more than 5 ms). On a connection that is reused at once that copy would be
+     * read as the answer to the next attempt. Twice the longest delay is waited for, and bytes that arrive in that time close the
+     * connection. An answer takes about ten times as long, so few additional connections are needed.
      */
     private static final long REST_MICROS = 20_000;
 
@@ -24,64 +25,67 @@
     private final Host host;
     private final Codec codec;
     private Link link;
-    private Time.Timer connecting;
-    private Time.Timer stalling;
+    private Time.Timer connectTimer;
+    private Time.Timer stallTimer;
     private Attempt attempt;
-    private Outcome ending;
-    private boolean up;
-    private boolean written;
+    private Outcome abortOutcome;
+    private boolean open;
+    private boolean requestWritten;
     private boolean closing;
     long idleSinceMicros;
 
-    HostConnection(South south, Host host, Codec codec, Attempt first) {
+    HostConnection(South south, Host host, Codec codec, Attempt firstAttempt) {
         this.south = south;
         this.host = host;
         this.codec = codec;
-        attempt = first;
-        first.connection = this;
+        attempt = firstAttempt;
+        firstAttempt.connection = this;
     }
 
     void dial() {
-        // MINA looks at connect time-outs once a second only, so the time is kept here.
-        connecting = south.time.after(south.connectMicros, this::close);
+        // MINA checks connect time-outs only once a second, so the time-out is kept here.
+        connectTimer = south.time.after(south.connectMicros, this::close);
         link = south.dialer.dial(host.address, this);
     }
 
     /**
-     * Whether nothing has come in since the last answer, nor the other side's end. Danger: neither may have been told yet,
-     * and a second copy of that answer would be taken for the next one's.
+     * Whether the connection can carry another attempt: no bytes have arrived since the last answer, and the host has not closed
+     * it. Both are asked of the link, since its events may not have been delivered yet: a second copy of the last answer that
+     * waits there would be read as the answer to the next attempt.
      */
-    boolean clean() {
+    boolean reusable() {
         return !link.unread() && !link.over();
     }
 
-    /** Puts an attempt on this idle connection. */
-    void carry(Attempt next) {
-        Invariant.check(up && attempt == null && !closing, "a connection carries one attempt at a time");
+    /** Starts an attempt on this idle connection. */
+    void assign(Attempt next) {
+        Invariant.check(open && attempt == null && !closing, "a connection carries one attempt at a time");
         attempt = next;
         next.connection = this;
-        begin();
+        writeRequest();
     }
 
-    private void begin() {
-        // Looked at again as the bytes leave: while it waited for a connection the host may have begun to drain.
-        if (!south.mayStart(attempt)) {
+    private void writeRequest() {
+        // Checked again right before writing: the host may have begun to drain while the attempt was queued.
+        if (!south.mayBegin(attempt)) {
             Attempt refused = attempt;
             attempt = null;
-            host.free(this);
+            host.release(this);
             south.time.after(0, () -> south.end(refused, Reply.without(Outcome.NOT_SENT)));
             return;
         }
-        written = false;
-        // Rounded down: a host must not be told of more time than the attempt is waited for.
-        long waitMillis = Math.max(1, (attempt.untilMicros - south.time.now()) / 1000);
+        requestWritten = false;
+        // Rounded down, so that the host is never given more time than this balancer waits.
+        long waitMillis = Math.max(1, (attempt.deadlineMicros - south.time.now()) / 1000);
         link.write(attempt.probe() ? codec.probe() : codec.request(attempt.content, waitMillis));
     }
 
-    /** Ends the attempt by closing its connection; its end is told once the connection is closed, not before. */
-    void giveUp(Outcome outcome) {
-        // Danger: told at once, the next attempt could leave while this one's connection is still open.
-        ending = outcome;
+    /**
+     * Ends the attempt by closing its connection. The outcome is reported only once the connection is closed: if it were
+     * reported at once, the next attempt could be sent while this one can still reach the host.
+     */
+    void abort(Outcome outcome) {
+        abortOutcome = outcome;
         close();
     }
 
@@ -95,13 +99,13 @@
 
     @Override
     public void opened() {
-        connecting.cancel();
-        up = true;
+        connectTimer.cancel();
+        open = true;
         if (closing) {
             return;
         }
         south.counters.add(Count.CONNECTIONS_OPENED);
-        begin();
+        writeRequest();
     }
 
     @Override
@@ -110,22 +114,22 @@
             return;
         }
         if (attempt == null) {
-            // Danger: what nobody waits for must not become the answer of the next attempt.
+            // Bytes that no attempt waits for must never be read as the answer to the next one.
             south.counters.add(Count.ANSWERS_UNASKED);
             close();
             return;
         }
         Reply reply = codec.feed(bytes);
-        if (stalling != null) {
-            stalling.cancel();
+        if (stallTimer != null) {
+            stallTimer.cancel();
         }
         if (reply == null) {
-            stalling = south.time.after(south.stallMicros, this::stalled);
+            stallTimer = south.time.after(south.stallMicros, this::stalled);
             return;
         }
         Attempt answered = attempt;
         attempt = null;
-        if (reply.reusable() && written && clean()) {
+        if (reply.reusable() && requestWritten && reusable()) {
             south.time.after(REST_MICROS, this::rested);
         } else {
             close();
@@ -134,8 +138,8 @@
     }
 
     private void rested() {
-        if (!closing && clean()) {
-            host.free(this);
+        if (!closing && reusable()) {
+            host.release(this);
         } else {
             close();
         }
@@ -144,39 +148,39 @@
     private void stalled() {
         if (!closing && attempt != null) {
             south.counters.add(Count.ANSWERS_STALLED);
-            giveUp(Outcome.ERROR);
+            abort(Outcome.ERROR);
         }
     }
 
     @Override
     public void written() {
-        written = true;
+        requestWritten = true;
     }
 
     @Override
     public void closed() {
-        connecting.cancel();
-        if (stalling != null) {
-            stalling.cancel();
+        connectTimer.cancel();
+        if (stallTimer != null) {
+            stallTimer.cancel();
         }
         closing = true;
         host.dropIdle(this);
         host.connectionCount--;
         south.connectionCount--;
         if (attempt != null) {
-            Reply end = ending == null ? codec.end() : null;
+            Reply end = abortOutcome == null ? codec.end() : null;
             Attempt broken = attempt;
             attempt = null;
-            // Whether it may have run turns on its last byte: before that nothing can have begun. Danger: that byte may
-            // leave while the connection is being given up, and its word comes before the word of the close, so this
-            // is judged here and not when the time-out fell due.
-            Outcome broke = ending == null ? Outcome.RESET : ending;
+            // The host may have run the request only if its last byte was written; otherwise it is NOT_CONNECTED.
+            // This is decided here and not when the time-out fired: the last byte may be written while the
+            // connection is being closed, and the event for it is always delivered before this one.
+            Outcome broke = abortOutcome == null ? Outcome.RESET : abortOutcome;
             south.end(
                     broken,
                     end != null
                             ? end
                             : Reply.without(
-                                    written || broke == Outcome.CANCELLED || broke == Outcome.ERROR
+                                    requestWritten || broke == Outcome.CANCELLED || broke == Outcome.ERROR
                                             ? broke
                                             : Outcome.NOT_CONNECTED));
         }
--- a/balancer/src/main/java/baymoor/south/LoadReport.java
+++ b/balancer/src/main/java/baymoor/south/LoadReport.java
@@ -4,7 +4,7 @@
 import org.json.JSONException;
 import org.json.JSONObject;
 
-/** Reads a load report, a JSON object or a list of {@code name=value}, into the order that the settings give. */
+/** Parses a load report, a JSON object or a list of {@code name=value}, into the order given by the settings. */
 final class LoadReport {
 
     private static final double[] NONE = new double[0];
--- a/balancer/src/main/java/baymoor/south/OriginCodec.java
+++ b/balancer/src/main/java/baymoor/south/OriginCodec.java
@@ -27,7 +27,7 @@
 
     @Override
     public byte[] request(RequestContent content, long waitMillis) {
-        // In one order always: Map.of has another one in each JVM, and what crosses the wire should be the same.
+        // A fixed order: that of Map.of differs from one JVM to the next, and the bytes sent should not.
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("X-Correlation-Id", content.id());
         headers.put("X-Facts", content.factsOnWire(waitMillis));
@@ -61,8 +61,8 @@
         reader = new ResponseReader(LONGEST_BODY);
         boolean untouched = "1".equals(answer.header("x-unprocessed"))
                 && (answer.status() == UNAVAILABLE || answer.status() == TOO_LATE);
-        // Without that header a 503 promises nothing: it may have run, like a 500.
-        // A 200 that doesn't say how long it is can't be told from one cut short.
+        // Without that header a 503 may have run, like a 500.
+        // A 200 without a stated length can't be distinguished from one that was cut short.
         Outcome outcome =
                 answer.status() == OK && answer.sized() ? Outcome.SERVED : untouched ? Outcome.FULL : Outcome.ERROR;
         byte[] value = answer.takeBody();
--- a/balancer/src/main/java/baymoor/south/Reply.java
+++ b/balancer/src/main/java/baymoor/south/Reply.java
@@ -3,14 +3,18 @@
 import merlinstep.Decisions.Outcome;
 
 /**
- * How an attempt ended. {@code note}: 1 hit, 2 miss, 3 miss while being fetched, 0 not told. {@code reusable}: the
- * connection may carry the next attempt.
+ * How an attempt ended.
+ *
+ * @param value    the value or receipt, null without one
+ * @param note     1 for a cache hit, 2 for a miss, 3 for a miss on a key that is being fetched, 0 if the host did not say
+ * @param report   the host's load report, in the order of the settings; empty without one
+ * @param reusable whether the connection may carry another attempt
  */
 public record Reply(Outcome outcome, byte[] value, int note, double[] report, boolean reusable) {
 
     private static final double[] NONE = new double[0];
 
-    /** An end that no answer told of. */
+    /** The reply of an attempt that ended without an answer. */
     static Reply without(Outcome outcome) {
         return new Reply(outcome, null, 0, NONE, false);
     }
--- a/balancer/src/main/java/baymoor/south/RouterCodec.java
+++ b/balancer/src/main/java/baymoor/south/RouterCodec.java
@@ -68,7 +68,7 @@
         return reply == null ? Reply.without(Outcome.ERROR) : reply;
     }
 
-    /** Value or receipt, how it went, load report; null if it is anything else. */
+    /** Reads a value or receipt, a hit or miss and a load report; null if the answer has any other shape. */
     private Reply attemptReply(Resp answer, boolean clean) {
         if (!(answer instanceof Resp.Many many)
                 || many.items() == null
@@ -85,12 +85,12 @@
                     case "pending" -> 3;
                     default -> 0;
                 };
-        // A load report that can't be read says nothing against the value that came with it.
+        // A malformed load report does not invalidate the value that came with it.
         double[] report = many.items().get(2) instanceof Resp.Bulk b ? LoadReport.parse(text(b), reportFields) : NONE;
         return new Reply(value.bytes() == null ? Outcome.MISS : Outcome.SERVED, value.bytes(), note, report, clean);
     }
 
-    /** A sign of life or a load report; null if it is anything else. */
+    /** Reads the answer to a ping or a load report; null if the answer has any other shape. */
     private Reply probeReply(Resp answer, boolean clean) {
         if (answer instanceof Resp.Bulk bulk && bulk.bytes() != null && !reportFields.isEmpty()) {
             return new Reply(Outcome.SERVED, null, 0, LoadReport.parse(text(bulk), reportFields), clean);
--- a/balancer/src/main/java/baymoor/south/South.java
+++ b/balancer/src/main/java/baymoor/south/South.java
@@ -17,12 +17,12 @@
 import merlinstep.Decisions.Outcome;
 import merlinstep.Decisions.State;
 
-/** The hosts of the south side: starts attempts, bounds their connections and time, and tells how each ended. */
+/** The south side: sends attempts to hosts, bounds their connections and time, and reports how each of them ended. */
 public final class South {
 
-    /** Hears how attempts and probes ended; never while one of this class's methods is being called. */
+    /** Is told how attempts and probes ended; never from within a call to a method of this class. */
     public interface Listener {
-        /** An attempt has ended; nothing of it is out any more. */
+        /** An attempt has ended, and nothing of it can reach the host any more. */
         void attemptEnded(String request, int attempt, long host, Reply reply, long latencyMicros);
 
         /** A probe has ended. */
@@ -30,7 +30,7 @@
     }
 
     private static final long SWEEP_MICROS = 1_000_000;
-    /** A connection is given up this long before the other side may close it: a request would cross that. */
+    /** An idle connection is closed this long before the host may close it, since a request could cross the host's close. */
     private static final long IDLE_MARGIN_MICROS = 3_000_000;
 
     private static final long PROBE_MICROS = 400_000;
@@ -42,8 +42,8 @@
     final Counters counters;
     final long connectMicros;
     /**
-     * Seen: a length larger than what follows. An answer that has begun and then stops for so long is spoilt; aims
-     * are little longer than the time for a connection, so only a part of that leaves time to try again.
+     * An answer that has begun and then pauses for this long fails: hosts have been observed to announce more bytes than they
+     * send. The aims of requests are little longer than the connect time-out, so a part of it leaves time for another attempt.
      */
     final long stallMicros;
 
@@ -55,12 +55,12 @@
     private final int maxConnections;
     private final Map<Long, Host> hosts = new LinkedHashMap<>();
     private final Map<String, Attempt> attempts = new HashMap<>();
-    /** Hosts for which something waits: a fleet may have a thousand that nothing waits for. */
-    private final Set<Host> wanted = new LinkedHashSet<>();
+    /** Hosts with attempts that wait for a connection; kept apart, as a fleet may have a thousand hosts without any. */
+    private final Set<Host> hostsWithWaiting = new LinkedHashSet<>();
     /** Hosts with idle connections. */
-    final Set<Host> resting = new LinkedHashSet<>();
+    final Set<Host> hostsWithIdle = new LinkedHashSet<>();
 
-    private boolean serving;
+    private boolean servingScheduled;
     int connectionCount;
 
     /**
@@ -93,24 +93,24 @@
     }
 
     /**
-     * Starts an attempt; its end follows as an event, also where it can't even be sent.
+     * Starts an attempt. Its end is always reported to the listener, also if it can't be sent.
      *
-     * @param wanted asked as its bytes are about to leave, which may be long after this: whether it may still begin
+     * @param wanted whether the attempt may still begin, asked right before it is written, which may be much later
      */
     public void send(
             String request,
             int attemptNumber,
             long id,
             RequestContent content,
-            long untilMicros,
+            long deadlineMicros,
             BooleanSupplier wanted) {
         counters.add(Count.RELAYS);
-        Attempt attempt = new Attempt(request, attemptNumber, host(id), content, time.now(), untilMicros, wanted);
-        attempts.put(name(request, attemptNumber), attempt);
+        Attempt attempt = new Attempt(request, attemptNumber, host(id), content, time.now(), deadlineMicros, wanted);
+        attempts.put(key(request, attemptNumber), attempt);
         start(attempt);
     }
 
-    /** Asks a host for its load report. */
+    /** Asks a host for its load report, or for a sign of life. */
     public void probe(long id) {
         counters.add(Count.PROBES);
         start(new Attempt(null, 0, host(id), null, time.now(), time.now() + PROBE_MICROS, () -> true));
@@ -121,29 +121,29 @@
             time.after(0, () -> end(attempt, Reply.without(Outcome.NOT_SENT)));
             return;
         }
-        attempt.timer = time.after(attempt.untilMicros - time.now(), () -> giveUp(attempt, Outcome.TIMED_OUT));
+        attempt.timer = time.after(attempt.deadlineMicros - time.now(), () -> abort(attempt, Outcome.TIMED_OUT));
         attempt.host.waiting.addLast(attempt);
-        wanted.add(attempt.host);
+        hostsWithWaiting.add(attempt.host);
         place(attempt.host);
     }
 
-    /** Stops waiting for an attempt; its end follows. */
+    /** Aborts an attempt. Its end is reported to the listener. */
     public void cancel(String request, int attemptNumber) {
-        Attempt attempt = attempts.get(name(request, attemptNumber));
+        Attempt attempt = attempts.get(key(request, attemptNumber));
         if (attempt != null) {
-            time.after(0, () -> giveUp(attempt, Outcome.CANCELLED));
+            time.after(0, () -> abort(attempt, Outcome.CANCELLED));
         }
     }
 
-    /** An attempt is not wanted any more: it leaves the queue for a connection; what has begun ends by itself. */
+    /** Removes an attempt from the queue for a connection; one that has been written goes on. */
     public void withdraw(String request, int attemptNumber) {
-        Attempt attempt = attempts.get(name(request, attemptNumber));
+        Attempt attempt = attempts.get(key(request, attemptNumber));
         if (attempt != null && attempt.host.waiting.remove(attempt)) {
             time.after(0, () -> end(attempt, Reply.without(Outcome.NOT_SENT)));
         }
     }
 
-    /** Closes what is idle at a host. */
+    /** Closes the idle connections to a host. */
     public void closeIdle(long id) {
         Host host = hosts.get(id);
         if (host != null) {
@@ -151,7 +151,7 @@
         }
     }
 
-    /** The inventory has changed: idle connections to hosts that take nothing new are of no use. */
+    /** The inventory has changed: closes idle connections to hosts that take no new requests. */
     public void listed() {
         for (Host host : hosts.values()) {
             if (!runs(host)) {
@@ -165,17 +165,17 @@
         return entry != null && entry.state() == State.RUNNING;
     }
 
-    /** Whether something is out or queued for a host, or a connection to it still open. */
+    /** Whether a host has attempts that are sent or queued, or open connections. */
     public boolean uses(long id) {
         return hosts.containsKey(id);
     }
 
-    private void giveUp(Attempt attempt, Outcome outcome) {
-        if (attempt.over) {
+    private void abort(Attempt attempt, Outcome outcome) {
+        if (attempt.ended) {
             return;
         }
         if (attempt.connection != null) {
-            attempt.connection.giveUp(outcome);
+            attempt.connection.abort(outcome);
         } else {
             attempt.host.waiting.remove(attempt);
             end(attempt, Reply.without(outcome == Outcome.TIMED_OUT ? Outcome.NOT_CONNECTED : outcome));
@@ -195,17 +195,17 @@
         return host;
     }
 
-    /** Whether an attempt may still begin at a host: not where that drains or is gone by now, nor for a client that is. */
-    boolean mayStart(Attempt attempt) {
-        return attempt.wanted() && runs(attempt.host) && time.now() < attempt.untilMicros;
+    /** Whether an attempt may still be sent: its request needs it, its host takes requests, and its deadline has not passed. */
+    boolean mayBegin(Attempt attempt) {
+        return attempt.wanted() && runs(attempt.host) && time.now() < attempt.deadlineMicros;
     }
 
-    /** Finds connections for what waits at a host: idle ones first, then new ones within the bound. */
+    /** Assigns connections to the attempts that wait for a host: idle ones first, then new ones within the bound. */
     private void place(Host host) {
         while (!host.waiting.isEmpty()) {
             HostConnection connection = host.takeIdle();
             if (connection != null) {
-                connection.carry(host.waiting.pollFirst());
+                connection.assign(host.waiting.pollFirst());
             } else if (connectionCount < maxConnections || evict(host)) {
                 connectionCount++;
                 host.connectionCount++;
@@ -217,15 +217,15 @@
                 return;
             }
         }
-        wanted.remove(host);
+        hostsWithWaiting.remove(host);
     }
 
     /**
-     * Makes room for a connection by closing one that is idle at another host. Until that close is through there are a
-     * few connections too many. Seen: with a thousand hosts as many as there were hosts, far past the descriptors.
+     * Makes room for a connection by closing an idle one of another host. Until that close has completed the bound is exceeded;
+     * by how much is limited, as a thousand hosts once held as many surplus connections, far more than there are descriptors.
      */
     private boolean evict(Host wanting) {
-        for (Host host : resting) {
+        for (Host host : hostsWithIdle) {
             if (host != wanting) {
                 host.idle.peekFirst().close();
                 return connectionCount < maxConnections + MOST_CLOSING;
@@ -234,14 +234,14 @@
         return false;
     }
 
-    /** Looks, after the present event, whether what waits can be sent. */
+    /** Assigns connections to all waiting attempts, after the current event has been handled. */
     void serveWaiting() {
-        if (!serving && !wanted.isEmpty()) {
-            serving = true;
+        if (!servingScheduled && !hostsWithWaiting.isEmpty()) {
+            servingScheduled = true;
             time.after(0, () -> {
-                serving = false;
-                for (Host host : List.copyOf(wanted)) {
-                    if (connectionCount >= maxConnections && resting.isEmpty()) {
+                servingScheduled = false;
+                for (Host host : List.copyOf(hostsWithWaiting)) {
+                    if (connectionCount >= maxConnections && hostsWithIdle.isEmpty()) {
                         break;
                     }
                     place(host);
@@ -250,12 +250,12 @@
         }
     }
 
-    /** Tells the end of an attempt, which no later event may do again. */
+    /** Reports the end of an attempt to the listener, once. */
     void end(Attempt attempt, Reply reply) {
-        if (attempt.over) {
+        if (attempt.ended) {
             return;
         }
-        attempt.over = true;
+        attempt.ended = true;
         if (attempt.timer != null) {
             attempt.timer.cancel();
         }
@@ -264,7 +264,7 @@
             listener.probeEnded(attempt.host.id, reply, latency);
             return;
         }
-        attempts.remove(name(attempt.requestId, attempt.number));
+        attempts.remove(key(attempt.requestId, attempt.number));
         counters.add(
                 switch (reply.outcome()) {
                     case SERVED -> Count.RELAYS_SERVED;
@@ -280,7 +280,7 @@
         listener.attemptEnded(attempt.requestId, attempt.number, attempt.host.id, reply, latency);
     }
 
-    private static String name(String request, int attemptNumber) {
+    private static String key(String request, int attemptNumber) {
         return attemptNumber + "/" + request;
     }
 
@@ -288,7 +288,7 @@
         time.after(SWEEP_MICROS, this::sweep);
         listed();
         hosts.values().removeIf(h -> !runs(h) && h.connectionCount == 0 && h.waiting.isEmpty());
-        wanted.removeIf(h -> h.waiting.isEmpty()); // what waited there was given up
+        hostsWithWaiting.removeIf(h -> h.waiting.isEmpty()); // their attempts have timed out
         for (Host host : hosts.values()) {
             for (HostConnection connection : host.idle.toArray(new HostConnection[0])) {
                 if (time.now() - connection.idleSinceMicros > idleMicros) {
