Rename: the judge knows attempts, not relays

Change: names only. The rule one_relay_at_a_time and the word relayed in what is reported stay, as operators read them.

--- a/emulator/src/main/java/baymoor/emulator/judge/Judge.java
+++ b/emulator/src/main/java/baymoor/emulator/judge/Judge.java
@@ -41,7 +41,7 @@
 
     private record Step(long at, String what, String where) {}
 
-    private static final class Relay {
+    private static final class Attempt {
         final String host;
         final long connection;
         boolean out = true;
@@ -50,7 +50,7 @@
         boolean suspected;
         long suspectedAt;
 
-        Relay(String host, long connection) {
+        Attempt(String host, long connection) {
             this.host = host;
             this.connection = connection;
         }
@@ -69,7 +69,7 @@
         long firstMayHaveRun = -1;
         long leftAt = Long.MAX_VALUE;
         int[] made = new int[0];
-        final List<Relay> relays = new ArrayList<>(2);
+        final List<Attempt> attempts = new ArrayList<>(2);
         final List<Step> steps = new ArrayList<>(8);
 
         Case(String id, RequestClass kind, long giveUp) {
@@ -154,11 +154,12 @@
         while (!ended.isEmpty() && now - ended.peek().at > KEEP_MICROS) {
             Case c = ended.poll().request;
             cases.remove(c.id, c);
-            c.relays.forEach(r -> connections.remove(r.connection, c));
+            c.attempts.forEach(r -> connections.remove(r.connection, c));
         }
         while (!suspects.isEmpty()) {
             Case c = suspects.peek();
-            Relay due = c.relays.stream().filter(r -> r.suspected).findFirst().orElse(null);
+            Attempt due =
+                    c.attempts.stream().filter(r -> r.suspected).findFirst().orElse(null);
             if (due != null && now - due.suspectedAt <= slack) {
                 return;
             }
@@ -215,7 +216,7 @@
             }
         } else if (kind == Kind.REFUSED
                 && c.kind.effect() == Effect.UNSAFE
-                && (c.runs > 0 || c.relays.stream().anyMatch(r -> !r.unrun))) {
+                && (c.runs > 0 || c.attempts.stream().anyMatch(r -> !r.unrun))) {
             breaks(Rule.HARMLESS_REFUSAL, c, "an unsafe request that may have run was answered with a back-off");
         }
     }
@@ -285,7 +286,7 @@
     }
 
     /** An attempt has left on a connection. */
-    public void relayed(String id, int balancer, String host, long connection) {
+    public void attemptSent(String id, int balancer, String host, long connection) {
         Case c = cases.get(id);
         if (c == null) {
             return;
@@ -301,7 +302,7 @@
                     "sent to " + host + " " + (now - c.leftAt) + " us after its client had left, case "
                             + begunForNobody);
         }
-        for (Relay r : c.relays) {
+        for (Attempt r : c.attempts) {
             if (r.out && slack == 0) {
                 breaks(Rule.ONE_RELAY_AT_A_TIME, c, "sent to " + host + " while it is out at " + r.host);
             } else if (r.out) {
@@ -326,7 +327,7 @@
         if (word != null && word.stopped && now - word.at > figures.drainGraceMicros() + slack) {
             breaks(Rule.DRAINED, c, "sent to " + host + " " + (now - word.at) + " us after it was told to stop");
         }
-        c.relays.add(new Relay(host, connection));
+        c.attempts.add(new Attempt(host, connection));
         c.firstMayHaveRun = c.firstMayHaveRun < 0 ? now : c.firstMayHaveRun;
         connections.put(connection, c);
     }
@@ -337,14 +338,14 @@
         return (int) sums.getValue();
     }
 
-    private Relay onConnection(long connection) {
+    private Attempt onConnection(long connection) {
         Case c = connections.get(connection);
         if (c == null) {
             return null;
         }
-        for (int i = c.relays.size() - 1; i >= 0; i--) {
-            if (c.relays.get(i).connection == connection) {
-                return c.relays.get(i);
+        for (int i = c.attempts.size() - 1; i >= 0; i--) {
+            if (c.attempts.get(i).connection == connection) {
+                return c.attempts.get(i);
             }
         }
         return null;
@@ -352,15 +353,15 @@
 
     /** Bytes of a host's answer have come to the balancer. */
     public void answerIn(long connection) {
-        Relay r = onConnection(connection);
+        Attempt r = onConnection(connection);
         if (r != null && r.answered) {
             r.out = false;
         }
     }
 
     /** The connection of an attempt is over at the balancer's side. */
-    public void relayClosed(long connection) {
-        Relay r = onConnection(connection);
+    public void attemptClosed(long connection) {
+        Attempt r = onConnection(connection);
         if (r != null) {
             r.out = false;
             connections.remove(connection);
@@ -376,8 +377,8 @@
             return;
         }
         step(c, unrun ? "turned away or missed" : "host answered", "at " + host);
-        for (int i = c.relays.size() - 1; i >= 0; i--) {
-            Relay r = c.relays.get(i);
+        for (int i = c.attempts.size() - 1; i >= 0; i--) {
+            Attempt r = c.attempts.get(i);
             if (r.host.equals(host) && !r.answered) {
                 r.answered = true;
                 r.unrun = unrun;
@@ -385,7 +386,7 @@
                 break;
             }
         }
-        if (c.relays.stream().allMatch(r -> r.unrun)) {
+        if (c.attempts.stream().allMatch(r -> r.unrun)) {
             c.firstMayHaveRun = -1;
         }
     }
--- a/emulator/src/main/java/baymoor/emulator/virtual/RelayTap.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/AttemptTap.java
@@ -11,7 +11,7 @@
  * Reads on a balancer's own connections which request leaves for which host, from the bytes alone: so the judge hears
  * what crossed the wire, whatever the balancer believes of it.
  */
-final class RelayTap implements VirtualNet.Tap {
+final class AttemptTap implements VirtualNet.Tap {
 
     private static final String ID_HEADER = "X-Correlation-Id: ";
     private static final int ID_WORD = 2;
@@ -21,7 +21,7 @@
     private final ToIntFunction<Site> number;
 
     /** @param hostAt name of the host at an address, or null where it is none that takes requests */
-    RelayTap(Judge judge, Function<InetSocketAddress, String> hostAt, ToIntFunction<Site> number) {
+    AttemptTap(Judge judge, Function<InetSocketAddress, String> hostAt, ToIntFunction<Site> number) {
         this.judge = judge;
         this.hostAt = hostAt;
         this.number = number;
@@ -32,7 +32,7 @@
         String host = hostAt.apply(to);
         String id = host == null ? null : id(bytes);
         if (id != null) {
-            judge.relayed(id, number.applyAsInt(balancer), host, connection);
+            judge.attemptSent(id, number.applyAsInt(balancer), host, connection);
         }
     }
 
@@ -43,7 +43,7 @@
 
     @Override
     public void closed(long connection) {
-        judge.relayClosed(connection);
+        judge.attemptClosed(connection);
     }
 
     /** The id of the request that these bytes carry, or null if they carry none, as a probe's do. */
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualRun.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualRun.java
@@ -118,7 +118,7 @@
                 (what, whom) -> log.line("act", what, whom.isEmpty() ? "-" : whom, 0, 0));
         VirtualFleet fleet = new VirtualFleet(
                 engine, scenario, net, platform, world, judge, streams, log, world.clients(), sabotage);
-        net.tap(new RelayTap(judge, to -> world.hostAt(platform.place(to)), net::number));
+        net.tap(new AttemptTap(judge, to -> world.hostAt(platform.place(to)), net::number));
         world.open(fleet);
         fleet.startAll();
         world.begin();
--- a/emulator/src/main/java/baymoor/emulator/world/Arrivals.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Arrivals.java
@@ -22,13 +22,13 @@
     /** A whole command has come in. */
     void came(String id, int balancer, String host, long connection) {
         if (tell) {
-            judge.relayed(id, balancer, host, connection);
+            judge.attemptSent(id, balancer, host, connection);
         }
     }
 
     void closed(long connection) {
         if (tell) {
-            judge.relayClosed(connection);
+            judge.attemptClosed(connection);
         }
     }
 }
--- a/emulator/src/test/java/baymoor/emulator/judge/JudgeTest.java
+++ b/emulator/src/test/java/baymoor/emulator/judge/JudgeTest.java
@@ -47,10 +47,10 @@
     @Test
     public void anOrdinaryRequestBreaksNothing() {
         taken("map-read");
-        judge.relayed("r", 0, "a", 1);
+        judge.attemptSent("r", 0, "a", 1);
         judge.hostAnswered("r", "a", true);
         judge.answerIn(1);
-        judge.relayed("r", 0, "origin", 2);
+        judge.attemptSent("r", 0, "origin", 2);
         judge.ran("r", "origin");
         judge.made("r", VALUE);
         judge.hostAnswered("r", "origin", false);
@@ -109,45 +109,45 @@
     }
 
     @Test
-    public void twoRelaysAtOnceBreakARule() {
+    public void twoAttemptsAtOnceBreakARule() {
         taken("map-read");
-        judge.relayed("r", 0, "a", 1);
-        judge.relayed("r", 0, "b", 2);
+        judge.attemptSent("r", 0, "a", 1);
+        judge.attemptSent("r", 0, "b", 2);
         expect(Rule.ONE_RELAY_AT_A_TIME);
     }
 
     @Test
-    public void aRelayIsOverOnceItsConnectionIsOrItsAnswerHasCome() {
+    public void anAttemptIsOverOnceItsConnectionIsOrItsAnswerHasCome() {
         taken("map-read");
-        judge.relayed("r", 0, "a", 1);
-        judge.relayClosed(1);
-        judge.relayed("r", 0, "b", 2);
+        judge.attemptSent("r", 0, "a", 1);
+        judge.attemptClosed(1);
+        judge.attemptSent("r", 0, "b", 2);
         judge.hostAnswered("r", "b", true);
         judge.answerIn(2);
-        judge.relayed("r", 0, "c", 3);
+        judge.attemptSent("r", 0, "c", 3);
         expect();
     }
 
     @Test
     public void anAnswerOnItsWayIsNotYetThere() {
         taken("map-read");
-        judge.relayed("r", 0, "a", 1);
+        judge.attemptSent("r", 0, "a", 1);
         judge.hostAnswered("r", "a", true);
-        judge.relayed("r", 0, "b", 2);
+        judge.attemptSent("r", 0, "b", 2);
         expect(Rule.ONE_RELAY_AT_A_TIME);
     }
 
     @Test
-    public void whereTheJudgeHearsLateARelayHasTheSlackToEnd() {
+    public void whereTheJudgeHearsLateAnAttemptHasTheSlackToEnd() {
         judge = new Judge(() -> now, scenario.figures(), 50_000, broken::add);
         taken("map-read");
-        judge.relayed("r", 0, "a", 1);
-        judge.relayed("r", 0, "b", 2);
-        judge.relayClosed(1);
+        judge.attemptSent("r", 0, "a", 1);
+        judge.attemptSent("r", 0, "b", 2);
+        judge.attemptClosed(1);
         now += 60_000;
         judge.look();
         expect();
-        judge.relayed("r", 0, "c", 3);
+        judge.attemptSent("r", 0, "c", 3);
         now += 60_000;
         judge.look();
         expect(Rule.ONE_RELAY_AT_A_TIME);
@@ -156,19 +156,19 @@
     @Test
     public void anUnsafeRequestThatMayHaveRunMustNotBeSentAgain() {
         taken("search-order");
-        judge.relayed("r", 0, "origin", 1);
-        judge.relayClosed(1);
-        judge.relayed("r", 0, "origin", 2);
+        judge.attemptSent("r", 0, "origin", 1);
+        judge.attemptClosed(1);
+        judge.attemptSent("r", 0, "origin", 2);
         expect(Rule.UNSAFE_ONCE);
     }
 
     @Test
     public void anUnsafeRequestThatWasTurnedAwayMayBeSentAgain() {
         taken("search-order");
-        judge.relayed("r", 0, "origin", 1);
+        judge.attemptSent("r", 0, "origin", 1);
         judge.hostAnswered("r", "origin", true);
         judge.answerIn(1);
-        judge.relayed("r", 0, "origin", 2);
+        judge.attemptSent("r", 0, "origin", 2);
         expect();
     }
 
@@ -196,8 +196,8 @@
             judge.taken("r" + i, 0);
             judge.left("r" + i);
             now += i == 1 ? 100_000 : 100_001;
-            judge.relayed("r" + i, 0, "s-a", i + 1);
-            judge.relayClosed(i + 1);
+            judge.attemptSent("r" + i, 0, "s-a", i + 1);
+            judge.attemptClosed(i + 1);
             if (i < 3) {
                 expect();
             }
@@ -208,27 +208,27 @@
     @Test
     public void aKeyedRequestIsSentAgainWithinItsWindowOnly() {
         taken("parcel-watch");
-        judge.relayed("r", 0, "origin", 1);
-        judge.relayClosed(1);
+        judge.attemptSent("r", 0, "origin", 1);
+        judge.attemptClosed(1);
         now += 24_000_000;
-        judge.relayed("r", 0, "origin", 2);
-        judge.relayClosed(2);
+        judge.attemptSent("r", 0, "origin", 2);
+        judge.attemptClosed(2);
         expect();
         now += 2_000_000;
-        judge.relayed("r", 0, "origin", 3);
+        judge.attemptSent("r", 0, "origin", 3);
         expect(Rule.KEYED_ONCE);
     }
 
     @Test
     public void aBackOffForWhatMayHaveRunBreaksARule() {
         taken("search-order");
-        judge.relayed("r", 0, "origin", 1);
-        judge.relayClosed(1);
+        judge.attemptSent("r", 0, "origin", 1);
+        judge.attemptClosed(1);
         judge.answered("r", Judge.Kind.REFUSED, null);
         expect(Rule.HARMLESS_REFUSAL);
         judge.asked("s", kind("map-read"), now + 1);
         judge.taken("s", 0);
-        judge.relayed("s", 0, "a", 2);
+        judge.attemptSent("s", 0, "a", 2);
         judge.answered("s", Judge.Kind.REFUSED, null);
         expect(Rule.HARMLESS_REFUSAL);
     }
@@ -238,12 +238,12 @@
         judge.told(0, "a", true, 0);
         now += 500_000;
         taken("map-read");
-        judge.relayed("r", 0, "a", 1);
-        judge.relayClosed(1);
+        judge.attemptSent("r", 0, "a", 1);
+        judge.attemptClosed(1);
         expect();
         judge.told(0, "a", true, 0); // told again is not told anew
         now += 1;
-        judge.relayed("r", 0, "a", 2);
+        judge.attemptSent("r", 0, "a", 2);
         expect(Rule.DRAINED);
     }
 
@@ -254,15 +254,15 @@
         judge.started(0);
         now += 900_000;
         taken("map-read");
-        judge.relayed("r", 0, "a", 1);
-        judge.relayClosed(1);
+        judge.attemptSent("r", 0, "a", 1);
+        judge.attemptClosed(1);
         expect();
         judge.told(0, "a", true, 0); // by its own first list: from now on the rule holds
         now += 500_001;
-        judge.relayed("r", 0, "a", 2);
+        judge.attemptSent("r", 0, "a", 2);
         expect(Rule.DRAINED);
-        judge.relayClosed(2);
-        judge.relayed("r", 1, "a", 3); // and it held all the time for the other one
+        judge.attemptClosed(2);
+        judge.attemptSent("r", 1, "a", 3); // and it held all the time for the other one
         expect(Rule.DRAINED, Rule.DRAINED);
     }
 
@@ -272,7 +272,7 @@
         judge.told(0, "a", false, 0);
         now += 900_000;
         taken("map-read");
-        judge.relayed("r", 0, "a", 1);
+        judge.attemptSent("r", 0, "a", 1);
         expect();
     }
 
