Rename: records of the judge say what they hold

Change: names only. Case is RequestRecord, Told is ListedState, Kind is AnswerKind, unrun is notRun.

--- a/emulator/src/main/java/baymoor/emulator/judge/Judge.java
+++ b/emulator/src/main/java/baymoor/emulator/judge/Judge.java
@@ -25,7 +25,7 @@
 public final class Judge {
 
     /** What came back to a client. */
-    public enum Kind {
+    public enum AnswerKind {
         SERVED,
         REFUSED,
         FAILED
@@ -46,7 +46,7 @@
         final long connection;
         boolean out = true;
         boolean answered;
-        boolean unrun;
+        boolean notRun;
         boolean suspected;
         long suspectedAt;
 
@@ -56,7 +56,7 @@
         }
     }
 
-    private static final class Case {
+    private static final class RequestRecord {
         final String id;
         final RequestClass kind;
         final long giveUp;
@@ -72,27 +72,27 @@
         final List<Attempt> attempts = new ArrayList<>(2);
         final List<Step> steps = new ArrayList<>(8);
 
-        Case(String id, RequestClass kind, long giveUp) {
+        RequestRecord(String id, RequestClass kind, long giveUp) {
             this.id = id;
             this.kind = kind;
             this.giveUp = giveUp;
         }
     }
 
-    private record Told(boolean stopped, long at, long since) {}
+    private record ListedState(boolean stopped, long at, long since) {}
 
-    private record Ended(long at, Case request) {}
+    private record EndedRequest(long at, RequestRecord request) {}
 
     private final LongSupplier clock;
     private final long epoch;
     private final Figures figures;
     private final long slack;
     private final Consumer<Broken> broken;
-    private final Map<String, Case> cases = new HashMap<>();
-    private final Map<Long, Case> connections = new HashMap<>();
-    private final ArrayDeque<Ended> ended = new ArrayDeque<>();
-    private final ArrayDeque<Case> suspects = new ArrayDeque<>();
-    private final Map<Integer, Map<String, Told>> told = new HashMap<>();
+    private final Map<String, RequestRecord> requests = new HashMap<>();
+    private final Map<Long, RequestRecord> connections = new HashMap<>();
+    private final ArrayDeque<EndedRequest> ended = new ArrayDeque<>();
+    private final ArrayDeque<RequestRecord> suspects = new ArrayDeque<>();
+    private final Map<Integer, Map<String, ListedState>> listedStates = new HashMap<>();
     private final Map<Integer, Long> stalledUntil = new HashMap<>();
     /** Balancers that have died and not started again. */
     private final Set<Integer> dead = new HashSet<>();
@@ -121,10 +121,10 @@
 
     /** Requests that it still keeps in mind. */
     public int kept() {
-        return cases.size();
+        return requests.size();
     }
 
-    private void breaks(Rule rule, Case request, String what) {
+    private void breaks(Rule rule, RequestRecord request, String what) {
         counts.merge(rule, 1, Integer::sum);
         List<String> last = new ArrayList<>();
         if (request != null) {
@@ -134,17 +134,17 @@
         broken.accept(new Broken(rule, clock.getAsLong() - epoch, request == null ? "" : request.id, what, last));
     }
 
-    private void step(Case c, String what, String where) {
-        if (c.steps.size() == MOST_STEPS) {
-            c.steps.remove(1);
+    private void step(RequestRecord request, String what, String where) {
+        if (request.steps.size() == MOST_STEPS) {
+            request.steps.remove(1);
         }
-        c.steps.add(new Step(clock.getAsLong(), what, where));
+        request.steps.add(new Step(clock.getAsLong(), what, where));
     }
 
-    private void over(Case c) {
-        if (!c.over) {
-            c.over = true;
-            ended.add(new Ended(clock.getAsLong(), c));
+    private void over(RequestRecord request) {
+        if (!request.over) {
+            request.over = true;
+            ended.add(new EndedRequest(clock.getAsLong(), request));
         }
     }
 
@@ -152,14 +152,16 @@
     public void look() {
         long now = clock.getAsLong();
         while (!ended.isEmpty() && now - ended.peek().at > KEEP_MICROS) {
-            Case c = ended.poll().request;
-            cases.remove(c.id, c);
-            c.attempts.forEach(r -> connections.remove(r.connection, c));
+            RequestRecord request = ended.poll().request;
+            requests.remove(request.id, request);
+            request.attempts.forEach(attempt -> connections.remove(attempt.connection, request));
         }
         while (!suspects.isEmpty()) {
-            Case c = suspects.peek();
-            Attempt due =
-                    c.attempts.stream().filter(r -> r.suspected).findFirst().orElse(null);
+            RequestRecord request = suspects.peek();
+            Attempt due = request.attempts.stream()
+                    .filter(attempt -> attempt.suspected)
+                    .findFirst()
+                    .orElse(null);
             if (due != null && now - due.suspectedAt <= slack) {
                 return;
             }
@@ -169,7 +171,7 @@
                 if (due.out) {
                     breaks(
                             Rule.ONE_RELAY_AT_A_TIME,
-                            c,
+                            request,
                             "still out at " + due.host + " " + slack + " us after the next attempt had come");
                 }
             }
@@ -180,81 +182,84 @@
 
     /** A client has written a request and gives it up at a time. */
     public void asked(String id, RequestClass kind, long giveUpMicros) {
-        Case c = new Case(id, kind, giveUpMicros);
-        step(c, "asked", kind.name());
-        cases.put(id, c);
+        RequestRecord request = new RequestRecord(id, kind, giveUpMicros);
+        step(request, "asked", kind.name());
+        requests.put(id, request);
     }
 
     /** A balancer's process has the request. */
     public void taken(String id, int balancer) {
-        Case c = cases.get(id);
-        if (c != null && !c.over) {
-            c.taken = true;
-            c.balancer = balancer;
+        RequestRecord request = requests.get(id);
+        if (request != null && !request.over) {
+            request.taken = true;
+            request.balancer = balancer;
             // Seen: on sockets the kernel takes a request in for a process that was killed 5 ms before.
-            c.excused |= dead.contains(balancer);
-            step(c, "taken", "by balancer " + balancer);
+            request.excused |= dead.contains(balancer);
+            step(request, "taken", "by balancer " + balancer);
         }
     }
 
     /** A whole answer came to the client; {@code value} is what was served. */
-    public void answered(String id, Kind kind, byte[] value) {
-        Case c = cases.get(id);
-        if (c == null) {
+    public void answered(String id, AnswerKind kind, byte[] value) {
+        RequestRecord request = requests.get(id);
+        if (request == null) {
             return;
         }
-        step(c, "answered", kind.name());
-        if (c.over) {
-            breaks(Rule.ONE_ANSWER, c, "a second answer");
+        step(request, "answered", kind.name());
+        if (request.over) {
+            breaks(Rule.ONE_ANSWER, request, "a second answer");
             return;
         }
-        over(c);
-        if (kind == Kind.SERVED) {
+        over(request);
+        if (kind == AnswerKind.SERVED) {
             int sum = sum(value);
-            if (Arrays.stream(c.made).noneMatch(m -> m == sum)) {
-                breaks(Rule.TRUE_VALUE, c, "served what no host made for it");
+            if (Arrays.stream(request.made).noneMatch(m -> m == sum)) {
+                breaks(Rule.TRUE_VALUE, request, "served what no host made for it");
             }
-        } else if (kind == Kind.REFUSED
-                && c.kind.effect() == Effect.UNSAFE
-                && (c.runs > 0 || c.attempts.stream().anyMatch(r -> !r.unrun))) {
-            breaks(Rule.HARMLESS_REFUSAL, c, "an unsafe request that may have run was answered with a back-off");
+        } else if (kind == AnswerKind.REFUSED
+                && request.kind.effect() == Effect.UNSAFE
+                && (request.runs > 0 || request.attempts.stream().anyMatch(attempt -> !attempt.notRun))) {
+            breaks(Rule.HARMLESS_REFUSAL, request, "an unsafe request that may have run was answered with a back-off");
         }
     }
 
     /** The connection ended with the request open: {@code byBalancer}, a process that lives, or by what else befell. */
     public void lost(String id, boolean byBalancer) {
-        Case c = cases.get(id);
-        if (c != null && !c.over) {
-            step(c, "connection ended", byBalancer ? "by the balancer" : "by something else");
-            over(c);
-            if (byBalancer && c.taken && !c.excused) {
-                breaks(Rule.ONE_ANSWER, c, "its connection was closed without an answer");
+        RequestRecord request = requests.get(id);
+        if (request != null && !request.over) {
+            step(request, "connection ended", byBalancer ? "by the balancer" : "by something else");
+            over(request);
+            if (byBalancer && request.taken && !request.excused) {
+                breaks(Rule.ONE_ANSWER, request, "its connection was closed without an answer");
             }
         }
     }
 
     /** The client left before its time was up. */
     public void left(String id) {
-        Case c = cases.get(id);
-        if (c != null && !c.over) {
-            step(c, "the client left", "");
-            c.leftAt = clock.getAsLong();
-            over(c);
+        RequestRecord request = requests.get(id);
+        if (request != null && !request.over) {
+            step(request, "the client left", "");
+            request.leftAt = clock.getAsLong();
+            over(request);
         }
     }
 
     /** The client's time is up, and the slack that an answer is allowed beyond it, and there is none. */
     public void unanswered(String id) {
-        Case c = cases.get(id);
-        if (c == null || c.over) {
+        RequestRecord request = requests.get(id);
+        if (request == null || request.over) {
             return;
         }
-        step(c, "given up", "");
-        c.leftAt = clock.getAsLong();
-        over(c);
-        boolean stalled = stalledUntil.getOrDefault(c.balancer, Long.MIN_VALUE) >= c.giveUp;
-        if (c.taken && !c.excused && !stalled) {
-            breaks(Rule.IN_TIME, c, "no answer " + (clock.getAsLong() - c.giveUp) + " us after its time was up");
+        step(request, "given up", "");
+        request.leftAt = clock.getAsLong();
+        over(request);
+        boolean stalled = stalledUntil.getOrDefault(request.balancer, Long.MIN_VALUE) >= request.giveUp;
+        if (request.taken && !request.excused && !stalled) {
+            breaks(
+                    Rule.IN_TIME,
+                    request,
+                    "no answer " + (clock.getAsLong() - request.giveUp) + " us after its time was up");
         }
     }
 
@@ -262,11 +267,11 @@
 
     /** A balancer's process has died, or begins to end: it owes nothing for what it had taken. */
     public void died(int balancer) {
-        told.remove(balancer);
+        listedStates.remove(balancer);
         dead.add(balancer);
-        for (Case c : cases.values()) {
-            if (!c.over && c.balancer == balancer) {
-                c.excused = true;
+        for (RequestRecord request : requests.values()) {
+            if (!request.over && request.balancer == balancer) {
+                request.excused = true;
             }
         }
     }
@@ -276,7 +281,7 @@
      * came back before a planned restart, the new process took it from its list as in service, and the old word stood.
      */
     public void started(int balancer) {
-        told.remove(balancer);
+        listedStates.remove(balancer);
         dead.remove(balancer);
     }
 
@@ -287,49 +292,52 @@
 
     /** An attempt has left on a connection. */
     public void attemptSent(String id, int balancer, String host, long connection) {
-        Case c = cases.get(id);
-        if (c == null) {
+        RequestRecord request = requests.get(id);
+        if (request == null) {
             return;
         }
         long now = clock.getAsLong();
-        step(c, "relayed", "to " + host + " by balancer " + balancer + " on connection " + connection);
+        step(request, "relayed", "to " + host + " by balancer " + balancer + " on connection " + connection);
         boolean late =
-                c.leftAt < now - LEFT_MICROS - slack && stalledUntil.getOrDefault(balancer, Long.MIN_VALUE) < now;
+                request.leftAt < now - LEFT_MICROS - slack && stalledUntil.getOrDefault(balancer, Long.MIN_VALUE) < now;
         if (late && ++begunForNobody > LEFT_BY_CHANCE) {
             breaks(
                     Rule.LEFT_ALONE,
-                    c,
-                    "sent to " + host + " " + (now - c.leftAt) + " us after its client had left, case "
+                    request,
+                    "sent to " + host + " " + (now - request.leftAt) + " us after its client had left, case "
                             + begunForNobody);
         }
-        for (Attempt r : c.attempts) {
-            if (r.out && slack == 0) {
-                breaks(Rule.ONE_RELAY_AT_A_TIME, c, "sent to " + host + " while it is out at " + r.host);
-            } else if (r.out) {
-                r.suspected = true;
-                r.suspectedAt = now;
-                suspects.add(c);
+        for (Attempt attempt : request.attempts) {
+            if (attempt.out && slack == 0) {
+                breaks(Rule.ONE_RELAY_AT_A_TIME, request, "sent to " + host + " while it is out at " + attempt.host);
+            } else if (attempt.out) {
+                attempt.suspected = true;
+                attempt.suspectedAt = now;
+                suspects.add(request);
             }
             // Where the word of a refusal may come late, the truth of what ran has to do.
-            if (!r.unrun && c.kind.effect() == Effect.UNSAFE && slack == 0) {
-                breaks(Rule.UNSAFE_ONCE, c, "sent to " + host + " though it may have run at " + r.host);
+            if (!attempt.notRun && request.kind.effect() == Effect.UNSAFE && slack == 0) {
+                breaks(Rule.UNSAFE_ONCE, request, "sent to " + host + " though it may have run at " + attempt.host);
             }
         }
-        if (c.kind.effect() == Effect.KEYED
-                && c.firstMayHaveRun >= 0
-                && now - c.firstMayHaveRun > c.kind.windowMicros() + slack) {
+        if (request.kind.effect() == Effect.KEYED
+                && request.firstMayHaveRun >= 0
+                && now - request.firstMayHaveRun > request.kind.windowMicros() + slack) {
             breaks(
                     Rule.KEYED_ONCE,
-                    c,
-                    "sent again " + (now - c.firstMayHaveRun) + " us after an attempt that may have run");
+                    request,
+                    "sent again " + (now - request.firstMayHaveRun) + " us after an attempt that may have run");
         }
-        Told word = told.getOrDefault(balancer, Map.of()).get(host);
-        if (word != null && word.stopped && now - word.at > figures.drainGraceMicros() + slack) {
-            breaks(Rule.DRAINED, c, "sent to " + host + " " + (now - word.at) + " us after it was told to stop");
+        ListedState listed = listedStates.getOrDefault(balancer, Map.of()).get(host);
+        if (listed != null && listed.stopped && now - listed.at > figures.drainGraceMicros() + slack) {
+            breaks(
+                    Rule.DRAINED,
+                    request,
+                    "sent to " + host + " " + (now - listed.at) + " us after it was told to stop");
         }
-        c.attempts.add(new Attempt(host, connection));
-        c.firstMayHaveRun = c.firstMayHaveRun < 0 ? now : c.firstMayHaveRun;
-        connections.put(connection, c);
+        request.attempts.add(new Attempt(host, connection));
+        request.firstMayHaveRun = request.firstMayHaveRun < 0 ? now : request.firstMayHaveRun;
+        connections.put(connection, request);
     }
 
     private int sum(byte[] value) {
@@ -339,13 +347,13 @@
     }
 
     private Attempt onConnection(long connection) {
-        Case c = connections.get(connection);
-        if (c == null) {
+        RequestRecord request = connections.get(connection);
+        if (request == null) {
             return null;
         }
-        for (int i = c.attempts.size() - 1; i >= 0; i--) {
-            if (c.attempts.get(i).connection == connection) {
-                return c.attempts.get(i);
+        for (int i = request.attempts.size() - 1; i >= 0; i--) {
+            if (request.attempts.get(i).connection == connection) {
+                return request.attempts.get(i);
             }
         }
         return null;
@@ -353,70 +361,70 @@
 
     /** Bytes of a host's answer have come to the balancer. */
     public void answerIn(long connection) {
-        Attempt r = onConnection(connection);
-        if (r != null && r.answered) {
-            r.out = false;
+        Attempt attempt = onConnection(connection);
+        if (attempt != null && attempt.answered) {
+            attempt.out = false;
         }
     }
 
     /** The connection of an attempt is over at the balancer's side. */
     public void attemptClosed(long connection) {
-        Attempt r = onConnection(connection);
-        if (r != null) {
-            r.out = false;
+        Attempt attempt = onConnection(connection);
+        if (attempt != null) {
+            attempt.out = false;
             connections.remove(connection);
         }
     }
 
     // ---- hosts
 
-    /** A host has answered an attempt in whole. {@code unrun}: with a miss, or turned away, so that nothing ran. */
-    public void hostAnswered(String id, String host, boolean unrun) {
-        Case c = cases.get(id);
-        if (c == null) {
+    /** A host has answered an attempt in whole. {@code notRun}: with a miss, or turned away, so that nothing ran. */
+    public void hostAnswered(String id, String host, boolean notRun) {
+        RequestRecord request = requests.get(id);
+        if (request == null) {
             return;
         }
-        step(c, unrun ? "turned away or missed" : "host answered", "at " + host);
-        for (int i = c.attempts.size() - 1; i >= 0; i--) {
-            Attempt r = c.attempts.get(i);
-            if (r.host.equals(host) && !r.answered) {
-                r.answered = true;
-                r.unrun = unrun;
-                r.out &= slack == 0; // without sight of the balancer's side, an answer that left is one that came
+        step(request, notRun ? "turned away or missed" : "host answered", "at " + host);
+        for (int i = request.attempts.size() - 1; i >= 0; i--) {
+            Attempt attempt = request.attempts.get(i);
+            if (attempt.host.equals(host) && !attempt.answered) {
+                attempt.answered = true;
+                attempt.notRun = notRun;
+                attempt.out &= slack == 0; // without sight of the balancer's side, an answer that left is one that came
                 break;
             }
         }
-        if (c.attempts.stream().allMatch(r -> r.unrun)) {
-            c.firstMayHaveRun = -1;
+        if (request.attempts.stream().allMatch(attempt -> attempt.notRun)) {
+            request.firstMayHaveRun = -1;
         }
     }
 
     /** The request has had its effect at a host. */
     public void ran(String id, String host) {
-        Case c = cases.get(id);
-        if (c == null) {
+        RequestRecord request = requests.get(id);
+        if (request == null) {
             return;
         }
-        c.runs++;
-        c.firstRan = c.runs == 1 ? clock.getAsLong() : c.firstRan;
-        step(c, "ran", "at " + host);
-        if (c.runs > 1 && c.kind.effect() == Effect.UNSAFE) {
-            breaks(Rule.UNSAFE_ONCE, c, "ran " + c.runs + " times");
-        } else if (c.runs > 1
-                && c.kind.effect() == Effect.KEYED
-                && clock.getAsLong() - c.firstRan <= c.kind.windowMicros()) {
+        request.runs++;
+        request.firstRan = request.runs == 1 ? clock.getAsLong() : request.firstRan;
+        step(request, "ran", "at " + host);
+        if (request.runs > 1 && request.kind.effect() == Effect.UNSAFE) {
+            breaks(Rule.UNSAFE_ONCE, request, "ran " + request.runs + " times");
+        } else if (request.runs > 1
+                && request.kind.effect() == Effect.KEYED
+                && clock.getAsLong() - request.firstRan <= request.kind.windowMicros()) {
             // Later the hosts drop no repeat any more: one that was sent in time, and waited there, is not the
             // balancer's doing.
-            breaks(Rule.KEYED_ONCE, c, "had its effect " + c.runs + " times");
+            breaks(Rule.KEYED_ONCE, request, "had its effect " + request.runs + " times");
         }
     }
 
     /** A host has made a value or receipt for a request. */
     public void made(String id, byte[] value) {
-        Case c = cases.get(id);
-        if (c != null) {
-            c.made = Arrays.copyOf(c.made, c.made.length + 1);
-            c.made[c.made.length - 1] = sum(value);
+        RequestRecord request = requests.get(id);
+        if (request != null) {
+            request.made = Arrays.copyOf(request.made, request.made.length + 1);
+            request.made[request.made.length - 1] = sum(value);
         }
     }
 
@@ -429,20 +437,20 @@
      * @param sinceMicros when it last started, 0 for long ago
      */
     public void told(int balancer, String host, boolean stopped, long sinceMicros) {
-        Map<String, Told> known = told.computeIfAbsent(balancer, b -> new HashMap<>());
+        Map<String, ListedState> known = listedStates.computeIfAbsent(balancer, b -> new HashMap<>());
         if (!stopped && sinceMicros == 0) {
             known.remove(host); // nothing that a rule turns on
             return;
         }
-        Told before = known.get(host);
+        ListedState before = known.get(host);
         boolean same = before != null && before.stopped == stopped && before.since == sinceMicros;
-        known.put(host, new Told(stopped, same ? before.at : clock.getAsLong(), sinceMicros));
+        known.put(host, new ListedState(stopped, same ? before.at : clock.getAsLong(), sinceMicros));
     }
 
     /** Whether a balancer was told of a host's last start. */
     public boolean knowsStart(int balancer, String host, long sinceMicros) {
-        Told word = told.getOrDefault(balancer, Map.of()).get(host);
-        return word != null && word.since == sinceMicros;
+        ListedState listed = listedStates.getOrDefault(balancer, Map.of()).get(host);
+        return listed != null && listed.since == sinceMicros;
     }
 
     /** A cold router fell over; {@code fromTold}: share of the work of those who knew of its start. */
--- a/emulator/src/main/java/baymoor/emulator/world/Clients.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Clients.java
@@ -366,15 +366,15 @@
         void answered(Resp answer) {
             settle();
             if (answer instanceof Resp.Bulk bulk && bulk.bytes() != null) {
-                judge.answered(id, Judge.Kind.SERVED, bulk.bytes());
+                judge.answered(id, Judge.AnswerKind.SERVED, bulk.bytes());
                 boolean inTime = zone.time.now() - request.firstAsked <= request.kind.aimMicros();
                 request.end(inTime ? Tally.End.IN_TIME : Tally.End.LATE);
             } else if (answer instanceof Resp.Failure f && f.text().startsWith("BUSY")) {
-                judge.answered(id, Judge.Kind.REFUSED, null);
+                judge.answered(id, Judge.AnswerKind.REFUSED, null);
                 String wait = f.text().substring("BUSY".length()).strip();
                 request.failed(Tally.End.REFUSED, wait.matches("[0-9]{1,9}") ? Long.parseLong(wait) * 1000 : 0);
             } else {
-                judge.answered(id, Judge.Kind.FAILED, null);
+                judge.answered(id, Judge.AnswerKind.FAILED, null);
                 request.failed(Tally.End.FAILED, 0);
             }
         }
@@ -487,7 +487,8 @@
         /** An answer that nobody asked for: one too many for the last try, and the end of this connection. */
         private void surplus(Resp answer) {
             if (last != null) {
-                judge.answered(last, answer instanceof Resp.Bulk ? Judge.Kind.SERVED : Judge.Kind.FAILED, null);
+                judge.answered(
+                        last, answer instanceof Resp.Bulk ? Judge.AnswerKind.SERVED : Judge.AnswerKind.FAILED, null);
             }
             zone.idle.get(balancer).remove(this);
             over = true;
