--- a/emulator/src/main/java/baymoor/emulator/world/Catalogue.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Catalogue.java
@@ -26,18 +26,18 @@
     }
 
     /** What a key is, as one who has the origin's data would know it. */
-    public record Thing(long size, double workShare) {}
+    public record KeyProfile(long size, double workShare) {}
 
     private UniformRandomProvider of(long key) {
         return RandomSource.SPLIT_MIX_64.create(key ^ seed);
     }
 
     /** The size and work of a key, always the same for one seed. */
-    public Thing thing(long key) {
+    public KeyProfile profile(long key) {
         UniformRandomProvider from = of(key);
         double share = from.nextDouble();
         long size = (long) (keys.size() * Draw.logNormal(from, keys.sizeSigma()));
-        return new Thing(Math.max(LEAST_SIZE, Math.min(MOST_SIZE, size)), share);
+        return new KeyProfile(Math.max(LEAST_SIZE, Math.min(MOST_SIZE, size)), share);
     }
 
     /** The popular key of a rank (0 the most popular) at a time: by and by new keys take the ranks over. */
@@ -52,9 +52,9 @@
     }
 
     /** Work of a request in microseconds of a core of speed 1. */
-    public double work(RequestClass kind, Thing thing) {
+    public double work(RequestClass kind, KeyProfile profile) {
         return kind.work().least()
-                + thing.workShare() * (kind.work().most() - kind.work().least());
+                + profile.workShare() * (kind.work().most() - kind.work().least());
     }
 
     /** A key as clients write it: 16 hex digits. */
--- a/emulator/src/main/java/baymoor/emulator/world/Clients.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Clients.java
@@ -203,13 +203,13 @@
         }
     }
 
-    /** One thing that a client wants, through all its tries. */
+    /** One profile that a client wants, through all its tries. */
     private final class Request {
         private final Zone zone;
         private final RequestClass kind;
         private final String tenant;
         private final long key;
-        private final Catalogue.Thing thing;
+        private final Catalogue.KeyProfile profile;
         private final String idempotency;
         private final long hint;
         private final long firstAsked;
@@ -223,9 +223,9 @@
             long usual =
                     once ? zone.chance.nextLong() : catalogue.key(zone.ranks.sample() - 1, zone.time.now() - countFrom);
             key = hot > 0 && Draw.chance(zone.chance, hot) ? hotKey : usual;
-            thing = catalogue.thing(key);
+            profile = catalogue.profile(key);
             idempotency = kind.effect() == Effect.KEYED ? Catalogue.name(zone.chance.nextLong()) : null;
-            hint = (long) (catalogue.work(kind, thing) * (1 + HINT_ERROR * (2 * zone.chance.nextDouble() - 1)));
+            hint = (long) (catalogue.work(kind, profile) * (1 + HINT_ERROR * (2 * zone.chance.nextDouble() - 1)));
             firstAsked = zone.time.now();
             open++;
         }
@@ -245,7 +245,7 @@
         }
 
         private double worth() {
-            return kind.worth() * catalogue.work(kind, thing) / 1e6;
+            return kind.worth() * catalogue.work(kind, profile) / 1e6;
         }
 
         void end(Tally.End end) {
@@ -325,7 +325,7 @@
                 facts.append(",h=").append(request.hint);
             }
             if (scenario.told().sizes()) {
-                facts.append(",size=").append(request.thing.size());
+                facts.append(",size=").append(request.profile.size());
             }
             byte[] key = RespWriter.ascii(Catalogue.name(request.key));
             byte[] list = RespWriter.ascii(facts.toString());
@@ -335,7 +335,7 @@
                             key,
                             RespWriter.ascii(id),
                             list,
-                            Values.value(Catalogue.name(request.key), id, request.thing.size()))
+                            Values.value(Catalogue.name(request.key), id, request.profile.size()))
                     : RespWriter.command(RespWriter.ascii("OBJ.GET"), key, RespWriter.ascii(id), list);
         }
 
--- a/emulator/src/main/java/baymoor/emulator/world/Origin.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Origin.java
@@ -264,7 +264,7 @@
                 fail();
                 return;
             }
-            long size = catalogue.thing(number()).size();
+            long size = catalogue.profile(number()).size();
             byte[] value = Values.value(key, id, size);
             judge.made(id, value);
             if (!from.over) {
--- a/emulator/src/main/java/baymoor/emulator/world/Router.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Router.java
@@ -447,9 +447,9 @@
                 answer(due, RespWriter.error("SYNTAX"));
                 return;
             }
-            Catalogue.Thing thing = catalogue.thing(named);
+            Catalogue.KeyProfile profile = catalogue.profile(named);
             boolean hit = read && cache.hit(key, time.now());
-            double work = (hit ? catalogue.work(requestClass, thing) : kind.missMicros())
+            double work = (hit ? catalogue.work(requestClass, profile) : kind.missMicros())
                     + (fresh ? kind.handshakeMicros() : 0);
             fresh = false;
             if (read) {
@@ -459,7 +459,7 @@
             if (born != life) {
                 return; // that was too much
             }
-            Work job = new Work(this, due, key, id, thing, read, work, time.now() + wait);
+            Work job = new Work(this, due, key, id, profile, read, work, time.now() + wait);
             if (state == State.DRAINING || !station.offer(job)) {
                 turnAway(due);
             }
@@ -531,7 +531,7 @@
         private final Due due;
         private final String key;
         private final String id;
-        private final Catalogue.Thing thing;
+        private final Catalogue.KeyProfile profile;
         private final boolean read;
         private final double work;
         private final long until;
@@ -542,7 +542,7 @@
                 Due due,
                 String key,
                 String id,
-                Catalogue.Thing thing,
+                Catalogue.KeyProfile profile,
                 boolean read,
                 double work,
                 long until) {
@@ -550,7 +550,7 @@
             this.due = due;
             this.key = key;
             this.id = id;
-            this.thing = thing;
+            this.profile = profile;
             this.read = read;
             this.work = work;
             this.until = until;
@@ -586,7 +586,7 @@
                 from.answer(due, FAILED);
                 return;
             }
-            byte[] value = Values.value(key, id, thing.size());
+            byte[] value = Values.value(key, id, profile.size());
             judge.made(id, value);
             from.answer(due, answer(RespWriter.bulk(value), "hit"));
         }
--- a/emulator/src/main/java/baymoor/emulator/world/RouterLoad.java
+++ b/emulator/src/main/java/baymoor/emulator/world/RouterLoad.java
@@ -74,7 +74,7 @@
         RequestClass kind = scenario.classes().get(0);
         double work = 0;
         for (int rank = 0; rank < KEYS; rank++) {
-            work += catalogue.work(kind, catalogue.thing(catalogue.key(rank, 0))) / KEYS;
+            work += catalogue.work(kind, catalogue.profile(catalogue.key(rank, 0))) / KEYS;
         }
         rate = load * router.capacity() / work;
     }
@@ -84,8 +84,8 @@
         router.start(0);
         router.prefill(IntStream.range(0, KEYS)
                 .mapToLong(r -> catalogue.key(r, 0))
-                .mapToObj(k ->
-                        new Router.Popular(Catalogue.name(k), catalogue.thing(k).size()))
+                .mapToObj(k -> new Router.Popular(
+                        Catalogue.name(k), catalogue.profile(k).size()))
                 .toList());
         platform.listen(0, "s-0", 0, router::accept);
         from = time.now() + scenario.durationMicros() / WARM_UP_PART;
--- a/emulator/src/main/java/baymoor/emulator/world/World.java
+++ b/emulator/src/main/java/baymoor/emulator/world/World.java
@@ -178,8 +178,8 @@
         int held = Math.min(scenario.keys().count(), MOST_PREFILLED / Math.max(1, slots.size()));
         for (int rank = 0; rank < held && scenario.keys().prefill(); rank++) {
             long key = catalogue.key(rank, 0);
-            popular.add(
-                    new Router.Popular(Catalogue.name(key), catalogue.thing(key).size()));
+            popular.add(new Router.Popular(
+                    Catalogue.name(key), catalogue.profile(key).size()));
         }
         for (Slot slot : slots) {
             slot.router.start(0);
