--- a/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
@@ -23,7 +23,7 @@
         List<Tenant> tenants,
         Keys keys,
         Figures figures,
-        Told told,
+        ModuleSettings moduleSettings,
         List<Act> script) {
 
     public Scenario {
@@ -194,7 +194,7 @@
      * {@code byWork}: whether worth counts by work; {@code cpuMicros}: processor time for decisions in a second;
      * {@code streams}: requests that a connection may carry at a time.
      */
-    public record Told(
+    public record ModuleSettings(
             boolean work,
             boolean sizes,
             boolean retries,
--- a/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
@@ -7,13 +7,13 @@
 import baymoor.emulator.scenario.Scenario.Expired;
 import baymoor.emulator.scenario.Scenario.Figures;
 import baymoor.emulator.scenario.Scenario.Keys;
+import baymoor.emulator.scenario.Scenario.ModuleSettings;
 import baymoor.emulator.scenario.Scenario.Net;
 import baymoor.emulator.scenario.Scenario.Origin;
 import baymoor.emulator.scenario.Scenario.RequestClass;
 import baymoor.emulator.scenario.Scenario.RouterKind;
 import baymoor.emulator.scenario.Scenario.Spoil;
 import baymoor.emulator.scenario.Scenario.Tenant;
-import baymoor.emulator.scenario.Scenario.Told;
 import baymoor.emulator.scenario.Scenario.Traffic;
 import baymoor.emulator.scenario.Scenario.What;
 import java.io.IOException;
@@ -133,7 +133,7 @@
                 tenants(top),
                 keys(top.table("keys")),
                 figures(top.table("rules")),
-                told(top.table("told")),
+                moduleSettings(top.table("told")),
                 script(top, zones, warmUp + duration));
         top.end();
         return scenario;
@@ -391,8 +391,8 @@
         return figures;
     }
 
-    private Told told(Table t) {
-        Told told = new Told(
+    private ModuleSettings moduleSettings(Table t) {
+        ModuleSettings settings = new ModuleSettings(
                 t.flag("work", true),
                 t.flag("sizes", true),
                 t.flag("retries", true),
@@ -402,7 +402,7 @@
                 t.number("cpu_per_request", 0, MANY, 0),
                 (int) t.whole("streams", 1, 32));
         t.end();
-        return told;
+        return settings;
     }
 
     private List<Act> script(Table top, List<String> zones, long end) {
--- a/emulator/src/main/java/baymoor/emulator/world/BalancerConfig.java
+++ b/emulator/src/main/java/baymoor/emulator/world/BalancerConfig.java
@@ -64,8 +64,8 @@
                 .put("membership_mode", s.discovery().pushed() ? "automatic" : "subscribe")
                 .put("weights", "rough")
                 .put("tick", 5000)
-                .put("counted_by", s.told().byWork() ? "work" : "request")
-                .put("over_share_worth", s.told().overShare())
+                .put("counted_by", s.moduleSettings().byWork() ? "work" : "request")
+                .put("over_share_worth", s.moduleSettings().overShare())
                 .put("layer", 0);
         ArrayNode zones = set.putArray("failure_domains");
         s.zones().forEach(zones::add);
@@ -94,7 +94,7 @@
         if (f.reports() != Scenario.Reports.OFF) {
             LoadGauge.NAMES.forEach(names::add);
         }
-        set.putObject("client_habits").put("marks_retry", s.told().retries());
+        set.putObject("client_habits").put("marks_retry", s.moduleSettings().retries());
     }
 
     private static void classes(ArrayNode classes, Scenario s) {
@@ -136,9 +136,9 @@
                 .put("max_retry_after", f.maxRetryAfterMicros())
                 .put("connect_timeout", f.connectMicros())
                 .put("idle_close", leastIdle)
-                .put("streams_per_conn", s.told().streams())
-                .put("cpu_us_per_s", s.told().cpuMicros())
-                .put("cpu_us_per_request", s.told().cpuPerRequestMicros());
+                .put("streams_per_conn", s.moduleSettings().streams())
+                .put("cpu_us_per_s", s.moduleSettings().cpuMicros())
+                .put("cpu_us_per_request", s.moduleSettings().cpuPerRequestMicros());
     }
 
     private static void rules(ObjectNode rules, Scenario s) {
--- a/emulator/src/main/java/baymoor/emulator/world/Clients.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Clients.java
@@ -318,13 +318,13 @@
             if (request.idempotency != null) {
                 facts.append(",k=").append(request.idempotency);
             }
-            if (request.retried && scenario.told().retries()) {
+            if (request.retried && scenario.moduleSettings().retries()) {
                 facts.append(",r=1");
             }
-            if (scenario.told().work()) {
+            if (scenario.moduleSettings().work()) {
                 facts.append(",h=").append(request.hint);
             }
-            if (scenario.told().sizes()) {
+            if (scenario.moduleSettings().sizes()) {
                 facts.append(",size=").append(request.profile.size());
             }
             byte[] key = RespWriter.ascii(Catalogue.name(request.key));
