--- a/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
@@ -24,7 +24,7 @@
         Keys keys,
         Figures figures,
         ModuleSettings moduleSettings,
-        List<Act> script) {
+        List<ScriptedEvent> script) {
 
     public Scenario {
         zones = List.copyOf(zones);
@@ -212,7 +212,7 @@
     }
 
     /** What can happen to the world. */
-    public enum What {
+    public enum EventKind {
         SURGE,
         SCAN,
         CUT,
@@ -251,8 +251,8 @@
      * One act of the script: {@code count} of its objects (chosen by the seed, or {@code zone}'s), for a time, by a
      * factor or a share. {@code withinMicros}: spread over so long; {@code atOnce}: so large a share at a time.
      */
-    public record Act(
-            What what,
+    public record ScriptedEvent(
+            EventKind what,
             long atMicros,
             long forMicros,
             double factor,
--- a/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
@@ -1,9 +1,9 @@
 package baymoor.emulator.scenario;
 
-import baymoor.emulator.scenario.Scenario.Act;
 import baymoor.emulator.scenario.Scenario.Balancers;
 import baymoor.emulator.scenario.Scenario.Discovery;
 import baymoor.emulator.scenario.Scenario.Effect;
+import baymoor.emulator.scenario.Scenario.EventKind;
 import baymoor.emulator.scenario.Scenario.Expired;
 import baymoor.emulator.scenario.Scenario.Figures;
 import baymoor.emulator.scenario.Scenario.Keys;
@@ -12,10 +12,10 @@
 import baymoor.emulator.scenario.Scenario.Origin;
 import baymoor.emulator.scenario.Scenario.RequestClass;
 import baymoor.emulator.scenario.Scenario.RouterKind;
+import baymoor.emulator.scenario.Scenario.ScriptedEvent;
 import baymoor.emulator.scenario.Scenario.Spoil;
 import baymoor.emulator.scenario.Scenario.Tenant;
 import baymoor.emulator.scenario.Scenario.Traffic;
-import baymoor.emulator.scenario.Scenario.What;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -44,7 +44,8 @@
             Pattern.compile("^\\s*([A-Za-z_]+)\\s*=\\s*([0-9.]+\\s*(?:us|ms|s|m|h|B|KiB|MiB|GiB|/s|%))\\s*(?:#.*)?$");
 
     /** Acts without a time of their own to last: they happen at once, or bring their own times. */
-    private static final Set<What> AT_ONCE = EnumSet.of(What.RESTART_BALANCERS, What.REPLACE_ROUTER, What.FLUSH);
+    private static final Set<EventKind> AT_ONCE =
+            EnumSet.of(EventKind.RESTART_BALANCERS, EventKind.REPLACE_ROUTER, EventKind.FLUSH);
 
     private final List<Mistake> mistakes = new ArrayList<>();
 
@@ -405,10 +406,10 @@
         return settings;
     }
 
-    private List<Act> script(Table top, List<String> zones, long end) {
-        List<Act> acts = new ArrayList<>();
+    private List<ScriptedEvent> script(Table top, List<String> zones, long end) {
+        List<ScriptedEvent> events = new ArrayList<>();
         for (Table t : top.tables("script")) {
-            What what = t.word("do", What.class, null);
+            EventKind what = t.word("do", EventKind.class, null);
             long at = t.time("at");
             if (at > end) {
                 t.mistake("at", "is after the end");
@@ -419,24 +420,24 @@
             if (!zone.isEmpty() && !zones.contains(zone)) {
                 t.mistake("zone", "= \"" + zone + "\" is none of " + String.join(", ", zones));
             }
-            if (what == What.CUT && zone.isEmpty()) {
+            if (what == EventKind.CUT && zone.isEmpty()) {
                 t.mistake("zone", "is missing: it is the zone that is cut off from the others");
             }
             double factor = t.number("factor", 0, 1000, 2);
-            if ((what == What.SURGE
-                            || what == What.SLOW_ORIGIN
-                            || what == What.SLOW_ROUTER
-                            || what == What.DISCOVERY_SLOW)
+            if ((what == EventKind.SURGE
+                            || what == EventKind.SLOW_ORIGIN
+                            || what == EventKind.SLOW_ROUTER
+                            || what == EventKind.DISCOVERY_SLOW)
                     && !t.has("factor")) {
                 t.mistake("factor", "is missing: how many times more, or slower");
             }
             Spoil spoil = t.word("spoil", Spoil.class, Spoil.GARBLE);
-            acts.add(new Act(
+            events.add(new ScriptedEvent(
                     what,
                     at,
                     lasting,
                     factor,
-                    t.share("share", what == What.SCAN || what == What.HOT_KEY ? 0.1 : 1),
+                    t.share("share", what == EventKind.SCAN || what == EventKind.HOT_KEY ? 0.1 : 1),
                     (int) t.whole("count", 1, 1),
                     zone,
                     t.time("within", 0),
@@ -446,7 +447,7 @@
                     t.line()));
             t.end();
         }
-        acts.sort(java.util.Comparator.comparingLong(Act::atMicros));
-        return acts;
+        events.sort(java.util.Comparator.comparingLong(ScriptedEvent::atMicros));
+        return events;
     }
 }
--- a/emulator/src/main/java/baymoor/emulator/world/World.java
+++ b/emulator/src/main/java/baymoor/emulator/world/World.java
@@ -5,8 +5,8 @@
 import baymoor.emulator.judge.Judge;
 import baymoor.emulator.report.Tally;
 import baymoor.emulator.scenario.Scenario;
-import baymoor.emulator.scenario.Scenario.Act;
 import baymoor.emulator.scenario.Scenario.RouterKind;
+import baymoor.emulator.scenario.Scenario.ScriptedEvent;
 import baymoor.emulator.world.DiscoveryService.Sign;
 import baymoor.emulator.world.Listing.Entry;
 import baymoor.emulator.world.Listing.Status;
@@ -225,8 +225,8 @@
         if (scenario.keys().changes() > 0) {
             change();
         }
-        for (Act act : scenario.script()) {
-            time.after(scenario.warmUpMicros() + act.atMicros() - (time.now() - start), () -> play(act));
+        for (ScriptedEvent event : scenario.script()) {
+            time.after(scenario.warmUpMicros() + event.atMicros() - (time.now() - start), () -> play(event));
         }
     }
 
@@ -314,58 +314,58 @@
     }
 
     /** So many of the routers that run, chosen by the seed, within a zone where one is named. */
-    private List<Slot> some(Act act) {
+    private List<Slot> some(ScriptedEvent event) {
         List<Slot> running = new ArrayList<>(slots.stream()
                 .filter(s -> s.router.state() == Router.State.UP
-                        && (act.zone().isEmpty()
-                                || scenario.zones().get(s.router.zone()).equals(act.zone())))
+                        && (event.zone().isEmpty()
+                                || scenario.zones().get(s.router.zone()).equals(event.zone())))
                 .toList());
         shuffle(running);
-        return running.subList(0, Math.min(act.count(), running.size()));
+        return running.subList(0, Math.min(event.count(), running.size()));
     }
 
     private void shuffle(List<?> list) {
         Collections.shuffle(list, new Random(chance.nextLong()));
     }
 
-    private void play(Act act) {
-        said.accept(act.what().name().toLowerCase(java.util.Locale.ROOT), act.zone());
-        switch (act.what()) {
+    private void play(ScriptedEvent event) {
+        said.accept(event.what().name().toLowerCase(java.util.Locale.ROOT), event.zone());
+        switch (event.what()) {
             case SURGE -> {
-                clients.surge(act.factor());
-                time.after(act.forMicros(), () -> clients.surge(1 / act.factor()));
+                clients.surge(event.factor());
+                time.after(event.forMicros(), () -> clients.surge(1 / event.factor()));
             }
             case SCAN -> {
-                clients.scan(act.share());
-                time.after(act.forMicros(), () -> clients.scan(0));
+                clients.scan(event.share());
+                time.after(event.forMicros(), () -> clients.scan(0));
             }
             case CUT -> {
-                int zone = scenario.zones().indexOf(act.zone());
+                int zone = scenario.zones().indexOf(event.zone());
                 platform.cut(zone, true);
                 cutSince[zone] = time.now();
-                time.after(act.forMicros(), () -> {
+                time.after(event.forMicros(), () -> {
                     platform.cut(zone, false);
                     cutSince[zone] = -1;
                     discovery.push();
                 });
             }
             case SLOW_ORIGIN -> {
-                origin.slow(act.factor());
-                time.after(act.forMicros(), () -> origin.slow(1));
+                origin.slow(event.factor());
+                time.after(event.forMicros(), () -> origin.slow(1));
             }
-            case STOP_ORIGIN -> stopOrigin(act.forMicros());
-            case FLUSH -> slots.forEach(slot -> slot.router.flush(act.share()));
+            case STOP_ORIGIN -> stopOrigin(event.forMicros());
+            case FLUSH -> slots.forEach(slot -> slot.router.flush(event.share()));
             case HOT_KEY -> {
-                clients.hot(act.share(), chance.nextLong());
-                time.after(act.forMicros(), () -> clients.hot(0, 0));
+                clients.hot(event.share(), chance.nextLong());
+                time.after(event.forMicros(), () -> clients.hot(0, 0));
             }
             case LOSE_DATAGRAMS -> {
-                platform.loseDatagrams(act.share());
-                time.after(act.forMicros(), () -> platform.loseDatagrams(0));
+                platform.loseDatagrams(event.share());
+                time.after(event.forMicros(), () -> platform.loseDatagrams(0));
             }
             case DISCOVERY_SLOW -> {
-                discovery.slow(act.factor());
-                time.after(act.forMicros(), () -> discovery.slow(1));
+                discovery.slow(event.factor());
+                time.after(event.forMicros(), () -> discovery.slow(1));
             }
             case DISCOVERY_DOWN -> {
                 discovery.down();
@@ -373,26 +373,26 @@
                 if (!pushed) {
                     platform.stopListening(discoveryPlace(0), false);
                 }
-                time.after(act.forMicros(), () -> {
+                time.after(event.forMicros(), () -> {
                     discovery.up();
                     if (!pushed) {
                         platform.listen(discoveryPlace(0), "discovery", 0, discovery::accept);
                     }
                 });
             }
-            case RESTART_BALANCERS -> restartBalancers(act);
-            case KILL_BALANCER, VANISH_BALANCER, STALL_BALANCER -> balancers(act);
-            default -> some(act).forEach(slot -> befall(act, slot));
+            case RESTART_BALANCERS -> restartBalancers(event);
+            case KILL_BALANCER, VANISH_BALANCER, STALL_BALANCER -> balancers(event);
+            default -> some(event).forEach(slot -> befall(event, slot));
         }
     }
 
-    private void balancers(Act act) {
+    private void balancers(ScriptedEvent event) {
         List<Integer> numbers = numbers();
-        for (int b : numbers.subList(0, Math.min(act.count(), numbers.size()))) {
-            switch (act.what()) {
-                case KILL_BALANCER -> fleet.kill(b, act.forMicros(), false);
-                case VANISH_BALANCER -> fleet.kill(b, act.forMicros(), true);
-                default -> fleet.stall(b, act.forMicros());
+        for (int b : numbers.subList(0, Math.min(event.count(), numbers.size()))) {
+            switch (event.what()) {
+                case KILL_BALANCER -> fleet.kill(b, event.forMicros(), false);
+                case VANISH_BALANCER -> fleet.kill(b, event.forMicros(), true);
+                default -> fleet.stall(b, event.forMicros());
             }
         }
     }
@@ -407,64 +407,64 @@
     }
 
     /** So large a share of the balancers, one after another, never more of them down than are allowed at once. */
-    private void restartBalancers(Act act) {
+    private void restartBalancers(ScriptedEvent event) {
         List<Integer> numbers = numbers();
-        int n = (int) Math.ceil(act.share() * numbers.size());
-        int most = Math.max(1, (int) (act.atOnce() * numbers.size()));
+        int n = (int) Math.ceil(event.share() * numbers.size());
+        int most = Math.max(1, (int) (event.atOnce() * numbers.size()));
         for (int i = 0; i < n; i++) {
             int b = numbers.get(i);
-            time.after(act.withinMicros() * i / n, () -> restartOne(act, b, most));
+            time.after(event.withinMicros() * i / n, () -> restartOne(event, b, most));
         }
     }
 
-    private void restartOne(Act act, int balancer, int most) {
+    private void restartOne(ScriptedEvent event, int balancer, int most) {
         long down = numbers().stream().filter(b -> !fleet.up(b)).count();
         if (down >= most) {
-            time.after(WAIT_MICROS, () -> restartOne(act, balancer, most));
+            time.after(WAIT_MICROS, () -> restartOne(event, balancer, most));
         } else {
-            fleet.restart(balancer, act.planned());
+            fleet.restart(balancer, event.planned());
         }
     }
 
-    private void befall(Act act, Slot slot) {
+    private void befall(ScriptedEvent event, Slot slot) {
         Router r = slot.router;
-        said.accept(act.what().name().toLowerCase(java.util.Locale.ROOT), r.name());
-        switch (act.what()) {
+        said.accept(event.what().name().toLowerCase(java.util.Locale.ROOT), r.name());
+        switch (event.what()) {
             case RESTART_ROUTER, VANISH_ROUTER -> {
-                gone(slot, act.what() == Scenario.What.VANISH_ROUTER);
+                gone(slot, event.what() == Scenario.EventKind.VANISH_ROUTER);
                 r.stop();
-                time.after(act.forMicros(), () -> startCold(slot));
+                time.after(event.forMicros(), () -> startCold(slot));
             }
             case REPLACE_ROUTER -> {
                 gone(slot, false);
                 r.stop();
                 slot.router = router("s-" + slot.place + "r" + ++replacements, r.zone(), r.kind());
-                time.after(act.forMicros(), () -> startCold(slot));
+                time.after(event.forMicros(), () -> startCold(slot));
             }
             case DRAIN_ROUTER -> {
                 r.drain();
                 discovery.changed(slot.entry.with(Status.TERMINATING), Sign.ENDED);
-                time.after(act.forMicros(), () -> {
+                time.after(event.forMicros(), () -> {
                     if (slot.router == r && r.state() == Router.State.DRAINING) {
                         r.undrain();
                         discovery.changed(slot.entry, Sign.ADDED);
                     }
                 });
             }
-            case PAUSE_ROUTER -> r.pause(act.forMicros());
+            case PAUSE_ROUTER -> r.pause(event.forMicros());
             case SLOW_ROUTER -> {
-                r.slow(act.factor());
-                time.after(act.forMicros(), () -> r.slow(1));
+                r.slow(event.factor());
+                time.after(event.forMicros(), () -> r.slow(1));
             }
             case HANG_ROUTER -> {
                 r.hang(true);
-                time.after(act.forMicros(), () -> r.hang(false));
+                time.after(event.forMicros(), () -> r.hang(false));
             }
             case BAD_ROUTER -> {
-                r.spoil(act.spoil(), act.share());
-                time.after(act.forMicros(), () -> r.spoil(null, 0));
+                r.spoil(event.spoil(), event.share());
+                time.after(event.forMicros(), () -> r.spoil(null, 0));
             }
-            default -> throw new IllegalStateException("not an act on a router: " + act.what());
+            default -> throw new IllegalStateException("not an act on a router: " + event.what());
         }
     }
 
