--- a/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
@@ -108,7 +108,7 @@
     /**
      * Discovery. {@code notice}: until it knows that a process ended or drains; {@code silent}: until it knows of one
      * that fell silent; {@code add}: of a new one; {@code spread}: until a change is written to a watch; a call costs
-     * {@code callMicros} and {@code lineMicros} for each entry, and fails after waiting {@code patienceMicros}. Where
+     * {@code callMicros} and {@code lineMicros} for each entry, and fails after waiting {@code timeoutMicros}. Where
      * lists are {@code pushed}, an agent on each balancer's machine has them {@code spread} later and answers at once.
      */
     public record Discovery(
@@ -119,7 +119,7 @@
             Span spread,
             long callMicros,
             long lineMicros,
-            long patienceMicros) {}
+            long timeoutMicros) {}
 
     /**
      * Open-loop traffic. {@code zoneShares}: of the zones in their order; {@code wave}: swing of a slow sine with the
--- a/emulator/src/main/java/baymoor/emulator/world/Clients.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Clients.java
@@ -275,7 +275,7 @@
         private final String id;
         private final long gone;
         private final long askedAt;
-        private final Time.Timer patience;
+        private final Time.Timer timeout;
         private final Time.Timer leaves;
         private Connection on;
         private boolean over;
@@ -292,7 +292,7 @@
             Scenario.Traffic t = scenario.traffic();
             double share = t.leastTry() + zone.chance.nextDouble() * (t.mostTry() - t.leastTry());
             gone = askedAt + (long) (request.kind.giveUpMicros() * share);
-            patience = zone.time.after(gone + slack - askedAt, this::givenUp);
+            timeout = zone.time.after(gone + slack - askedAt, this::givenUp);
             boolean impatient = Draw.chance(zone.chance, t.impatient());
             double leave = EARLIEST_LEAVE + zone.chance.nextDouble() * (LATEST_LEAVE - EARLIEST_LEAVE);
             leaves = impatient ? zone.time.after((long) ((gone - askedAt) * leave), this::leave) : null;
@@ -357,7 +357,7 @@
 
         private void settle() {
             over = true;
-            patience.cancel();
+            timeout.cancel();
             if (leaves != null) {
                 leaves.cancel();
             }
--- a/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
+++ b/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
@@ -298,8 +298,8 @@
             long lines = watching ? 1 : listed.size();
             long cost = (long) ((spec.callMicros() + lines * spec.lineMicros()) * slowness);
             long start = Math.max(time.now(), busyUntil);
-            if (start + cost - time.now() > spec.patienceMicros()) {
-                time.after(spec.patienceMicros(), () -> end(503, "Service Unavailable"));
+            if (start + cost - time.now() > spec.timeoutMicros()) {
+                time.after(spec.timeoutMicros(), () -> end(503, "Service Unavailable"));
                 return;
             }
             busyUntil = start + cost;
--- a/emulator/src/main/java/baymoor/emulator/world/World.java
+++ b/emulator/src/main/java/baymoor/emulator/world/World.java
@@ -26,7 +26,7 @@
     private static final long WAIT_MICROS = 200_000;
     private static final double ROUGH = 0.1;
     /** Of the longest time that a client waits: past it nothing more can come. */
-    private static final int PATIENCE = 4;
+    private static final int END_WAIT_FACTOR = 4;
     /** Over all routers: a large fleet would spend minutes and memory on what most of it is never asked for. */
     private static final int MOST_PREFILLED = 400_000;
 
@@ -245,7 +245,7 @@
                 .mapToLong(Scenario.RequestClass::giveUpMicros)
                 .max()
                 .orElse(0);
-        return !asking() && (clients.open() == 0 || time.now() >= asksUntil() + PATIENCE * longest);
+        return !asking() && (clients.open() == 0 || time.now() >= asksUntil() + END_WAIT_FACTOR * longest);
     }
 
     private void change() {
