--- a/cli/src/main/java/baymoor/cli/Home.java
+++ b/cli/src/main/java/baymoor/cli/InstallDirectory.java
@@ -5,9 +5,9 @@
 import java.nio.file.Path;
 
 /** Where the program was built: the launcher script names the folder, and the deploy file in it says how to serve. */
-final class Home {
+final class InstallDirectory {
 
-    private Home() {}
+    private InstallDirectory() {}
 
     static Path root() {
         return Path.of(System.getProperty("baymoor.home", ".")).toAbsolutePath().normalize();
--- a/cli/src/main/java/baymoor/cli/Serve.java
+++ b/cli/src/main/java/baymoor/cli/Serve.java
@@ -24,8 +24,8 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", Home.run())
-                .directory(Home.root().toFile())
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", InstallDirectory.run())
+                .directory(InstallDirectory.root().toFile())
                 .inheritIO();
         if (config != null) {
             builder.environment().put("ROUTER_CONFIG", config.toAbsolutePath().toString());
--- a/cli/src/main/java/baymoor/cli/SocketPlay.java
+++ b/cli/src/main/java/baymoor/cli/SocketPlay.java
@@ -26,8 +26,8 @@
         Progress progress = new Progress(spec.commandLine().getErr());
         double[] shown = {-STEP_SECONDS};
         String[] phase = {""};
-        SocketRun.Result result =
-                SocketRun.play(scenario, new SocketRun.Options(seed, folder, Home.root(), Home.run(), p -> {
+        SocketRun.Result result = SocketRun.play(
+                scenario, new SocketRun.Options(seed, folder, InstallDirectory.root(), InstallDirectory.run(), p -> {
                     boolean step =
                             p.seconds() - shown[0] >= (progress.terminal() ? STEP_SECONDS / 4 : 3 * STEP_SECONDS);
                     if (step || !phase[0].equals(p.phase())) {
--- a/emulator/src/test/java/baymoor/emulator/HeldLink.java
+++ b/emulator/src/test/java/baymoor/emulator/RecordingLink.java
@@ -4,7 +4,7 @@
 import java.nio.charset.StandardCharsets;
 
 /** A connection without a network: keeps what was written. */
-public class HeldLink implements Link {
+public class RecordingLink implements Link {
     public final StringBuilder out = new StringBuilder();
     public boolean closed;
 
--- a/emulator/src/test/java/baymoor/emulator/fabric/FabricTest.java
+++ b/emulator/src/test/java/baymoor/emulator/fabric/FabricTest.java
@@ -5,8 +5,8 @@
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
-import baymoor.emulator.HeldLink;
 import baymoor.emulator.ManualTime;
+import baymoor.emulator.RecordingLink;
 import baymoor.emulator.chance.Streams;
 import baymoor.emulator.scenario.Scenario;
 import baymoor.emulator.scenario.ScenarioReader;
@@ -24,7 +24,7 @@
     private final ManualTime time = new ManualTime();
     private final Fabric fabric = fabric("");
     /** The real connection, as a driver would have it. */
-    private final HeldLink real = new HeldLink();
+    private final RecordingLink real = new RecordingLink();
 
     private final Host host = new Host();
 
--- a/emulator/src/test/java/baymoor/emulator/world/ClientsOnSocketsTest.java
+++ b/emulator/src/test/java/baymoor/emulator/world/ClientsOnSocketsTest.java
@@ -3,8 +3,8 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
-import baymoor.emulator.HeldLink;
 import baymoor.emulator.ManualTime;
+import baymoor.emulator.RecordingLink;
 import baymoor.emulator.chance.Streams;
 import baymoor.emulator.judge.Broken;
 import baymoor.emulator.judge.Judge;
@@ -33,7 +33,7 @@
     private Clients clients;
 
     /** A connection of a client's; it tells the client of nothing by itself. */
-    private static final class Line extends HeldLink {
+    private static final class Line extends RecordingLink {
         private LinkEvents client;
 
         @Override
--- a/emulator/src/test/java/baymoor/emulator/world/HostsTest.java
+++ b/emulator/src/test/java/baymoor/emulator/world/HostsTest.java
@@ -4,8 +4,8 @@
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertTrue;
 
-import baymoor.emulator.HeldLink;
 import baymoor.emulator.ManualTime;
+import baymoor.emulator.RecordingLink;
 import baymoor.emulator.chance.Streams;
 import baymoor.emulator.judge.Judge;
 import baymoor.emulator.report.Tally;
@@ -33,7 +33,7 @@
     private Router router;
 
     /** A connection to a host: what it wrote, and whether it closed. */
-    private static final class Client extends HeldLink {
+    private static final class Client extends RecordingLink {
         LinkEvents host;
 
         void ask(String text) {
