--- a/balancer/src/main/java/baymoor/south/RouterCodec.java
+++ b/balancer/src/main/java/baymoor/south/RouterCodec.java
@@ -29,14 +29,14 @@
     }
 
     @Override
-    public byte[] request(Parcel parcel, long waitMillis) {
+    public byte[] request(RequestContent content, long waitMillis) {
         probing = false;
-        byte[] key = RespWriter.ascii(parcel.key());
-        byte[] id = RespWriter.ascii(parcel.id());
-        byte[] list = RespWriter.ascii(parcel.factsOnWire(waitMillis));
-        return parcel.value() == null
+        byte[] key = RespWriter.ascii(content.key());
+        byte[] id = RespWriter.ascii(content.id());
+        byte[] list = RespWriter.ascii(content.factsOnWire(waitMillis));
+        return content.value() == null
                 ? RespWriter.command(RespWriter.ascii("OBJ.GET"), key, id, list)
-                : RespWriter.command(RespWriter.ascii("OBJ.SET"), key, id, list, parcel.value());
+                : RespWriter.command(RespWriter.ascii("OBJ.SET"), key, id, list, content.value());
     }
 
     @Override
@@ -64,12 +64,12 @@
             boolean readable = READABLE.matcher(failure.text()).matches();
             return new Reply(busy ? Outcome.FULL : Outcome.ERROR, null, 0, NONE, clean && readable);
         }
-        Reply reply = probing ? probed(answer, clean) : relayed(answer, clean);
+        Reply reply = probing ? probeReply(answer, clean) : attemptReply(answer, clean);
         return reply == null ? Reply.without(Outcome.ERROR) : reply;
     }
 
-    /** Value or receipt, how it went, load report; null if it is anything else. */
-    private Reply relayed(Resp answer, boolean clean) {
+    /** Reads a value or receipt, a hit or miss and a load report; null if the answer has any other shape. */
+    private Reply attemptReply(Resp answer, boolean clean) {
         if (!(answer instanceof Resp.Many many)
                 || many.items() == null
                 || many.items().size() != ANSWER_ITEMS
@@ -85,13 +85,13 @@
                     case "pending" -> 3;
                     default -> 0;
                 };
-        // A load report that can't be read says nothing against the value that came with it.
+        // A malformed load report does not invalidate the value that came with it.
         double[] report = many.items().get(2) instanceof Resp.Bulk b ? LoadReport.parse(text(b), reportFields) : NONE;
         return new Reply(value.bytes() == null ? Outcome.MISS : Outcome.SERVED, value.bytes(), note, report, clean);
     }
 
-    /** A sign of life or a load report; null if it is anything else. */
-    private Reply probed(Resp answer, boolean clean) {
+    /** Reads the answer to a ping or a load report; null if the answer has any other shape. */
+    private Reply probeReply(Resp answer, boolean clean) {
         if (answer instanceof Resp.Bulk bulk && bulk.bytes() != null && !reportFields.isEmpty()) {
             return new Reply(Outcome.SERVED, null, 0, LoadReport.parse(text(bulk), reportFields), clean);
         }
--- a/emulator/src/main/java/baymoor/emulator/world/Catalogue.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Catalogue.java
@@ -26,17 +26,18 @@
     }
 
     /** What a key is, as one who has the origin's data would know it. */
-    public record Thing(long size, double workShare) {}
+    public record KeyProfile(long size, double workShare) {}
 
     private UniformRandomProvider of(long key) {
         return RandomSource.SPLIT_MIX_64.create(key ^ seed);
     }
 
-    public Thing thing(long key) {
+    /** The size and work of a key, always the same for one seed. */
+    public KeyProfile profile(long key) {
         UniformRandomProvider from = of(key);
         double share = from.nextDouble();
         long size = (long) (keys.size() * Draw.logNormal(from, keys.sizeSigma()));
-        return new Thing(Math.max(LEAST_SIZE, Math.min(MOST_SIZE, size)), share);
+        return new KeyProfile(Math.max(LEAST_SIZE, Math.min(MOST_SIZE, size)), share);
     }
 
     /** The popular key of a rank (0 the most popular) at a time: by and by new keys take the ranks over. */
@@ -45,16 +46,18 @@
         return of(rank * 1_000_003L + (long) Math.floor(turns)).nextLong();
     }
 
+    /** The request class of a name, or null. */
     public RequestClass kind(String name) {
         return classes.get(name);
     }
 
     /** Work of a request in microseconds of a core of speed 1. */
-    public double work(RequestClass kind, Thing thing) {
+    public double work(RequestClass kind, KeyProfile profile) {
         return kind.work().least()
-                + thing.workShare() * (kind.work().most() - kind.work().least());
+                + profile.workShare() * (kind.work().most() - kind.work().least());
     }
 
+    /** A key as clients write it: 16 hex digits. */
     public static String name(long key) {
         return HexFormat.of().toHexDigits(key);
     }
--- a/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
+++ b/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
@@ -360,9 +360,9 @@
             long lines = watching ? 1 : listed.size();
             long cost = (long) ((spec.callMicros() + lines * spec.lineMicros()) * slowness);
             long start = Math.max(time.now(), busyUntil);
-            if (start + cost - time.now() > spec.patienceMicros()) {
+            if (start + cost - time.now() > spec.timeoutMicros()) {
                 busyUntil = start + (long) (spec.failedMicros() * slowness);
-                time.after(spec.atOnce() ? 0 : spec.patienceMicros(), this::turnDown);
+                time.after(spec.atOnce() ? 0 : spec.timeoutMicros(), this::turnDown);
                 return;
             }
             busyUntil = start + cost;
