--- a/balancer/src/main/java/baymoor/inventory/CallPacing.java
+++ b/balancer/src/main/java/baymoor/inventory/CallPacing.java
@@ -33,11 +33,6 @@
     private static final long FIRST_PART_MICROS = 20_000;
     /** The window doubles three times at most, to six calls a second by all: as slow as that no service is known to be. */
     private static final int MOST_DOUBLINGS = 3;
-    /**
-     * The longest first window, however large the tier: what is listed counts as told after 6 s, which leaves time for the
-     * longest wait of a call (3 s are known of) and a second for the answer.
-     */
-    private static final long MOST_FIRST_MICROS = 2_000_000;
     /** How long a call on a good connection takes where nobody else calls, with a margin for a slow start. */
     private static final long UNHURRIED_MICROS = 1_000_000;
     /** No call is taken for dead sooner, nor one later that has no connection yet: half of what a change has to be known in is left after the silence before it. */
@@ -87,7 +82,7 @@
 
     /** Over how long the calls of all are spread now; one that is alone waits for nobody. */
     long windowMicros() {
-        return Math.min(MOST_FIRST_MICROS, (callers - 1) * FIRST_PART_MICROS) << doublings;
+        return ((callers - 1) * FIRST_PART_MICROS) << doublings;
     }
 
     private int step() {
