--- a/balancer/src/main/java/baymoor/inventory/Discovery.java
+++ b/balancer/src/main/java/baymoor/inventory/Discovery.java
@@ -280,7 +280,9 @@
 
     /** The watch says nothing any more. It is kept until another one answers, as an agent may have nothing to tell from. */
     private void silent(Call call) {
-        lost();
+        if (confirmation.watched()) {
+            lost();
+        }
         if (calling()) {
             return;
         }
--- a/balancer/src/main/java/baymoor/inventory/Inventory.java
+++ b/balancer/src/main/java/baymoor/inventory/Inventory.java
@@ -209,6 +209,9 @@
         wantsWhole = spoilt && index != spoiltVersion && said != ListKind.LAST_KNOWN;
         spoiltVersion = wantsWhole ? index : spoiltVersion;
         ListKind kind = wantsWhole ? ListKind.CHANGES : said;
+        if (index < version) {
+            stoppedVersion = index; // the service counts anew, and versions from before say nothing any more
+        }
         version = index;
         if (kind != ListKind.CHANGES) {
             // Who is absent from a whole list is gone; its entry stays, since relays may still be queued for it.
--- a/balancer/src/test/java/baymoor/inventory/DiscoveryTurnsTest.java
+++ b/balancer/src/test/java/baymoor/inventory/DiscoveryTurnsTest.java
@@ -190,7 +190,8 @@
         watched();
         time.pass(2_600_000);
         assertFalse(confirmation.watched());
-        assertEquals(2, unwatched);
+        time.pass(9_000_000);
+        assertEquals("told once", 2, unwatched);
         assertEquals(ListKind.FAILED, told.get(told.size() - 1).kind());
     }
 
--- a/balancer/src/test/java/baymoor/inventory/ListExchangeTest.java
+++ b/balancer/src/test/java/baymoor/inventory/ListExchangeTest.java
@@ -266,6 +266,22 @@
         nodes.forEach(node -> assertFalse(node.confirmation.current(time.now())));
     }
 
+    @Test
+    public void aServiceThatCountsAnewLiftsAStopToo() {
+        tier(2);
+        Node asker = nodes.get(0);
+        asker.inventory.told(list(500, true, running("a"), running("b")).toString());
+        watch(1, list(501, true, running("b")));
+        asker.exchange.seek();
+        time.pass(SECOND);
+        assertEquals(State.DRAINING, asker.state(A));
+        for (int i = 0; i < 3; i++) {
+            asker.inventory.told(list(3, true, running("a"), running("b")).toString());
+        }
+        assertEquals(3, asker.inventory.version());
+        assertEquals(State.RUNNING, asker.state(A));
+    }
+
     @Test
     public void anAnswerToNoQuestionIsCountedAndDropped() {
         tier(3);
