--- a/emulator/src/test/java/baymoor/emulator/virtual/OverbookedDiscoveryTest.java
+++ b/emulator/src/test/java/baymoor/emulator/virtual/OverbookedDiscoveryTest.java
@@ -91,13 +91,12 @@
         public String toString() {
             return String.format(
                     java.util.Locale.ROOT,
-                    "%d callers, at most %d calls a second, watched after %.1f s (50%%), %.1f s (99%%), %.1f s (100%%), broke %d",
+                    "%d callers, at most %d calls a second, watched after %.1f s (50%%), %.1f s (99%%), %.1f s (100%%)",
                     callers,
                     most,
                     until(50),
                     until(99),
-                    until(100),
-                    broken.size());
+                    until(100));
         }
     }
 
@@ -130,6 +129,7 @@
                 after);
         System.out.println("overbooked discovery, " + balancers + " balancers, "
                 + (script.equals(KILL) ? "mass kill" : "outage") + ": " + seen + ", " + result.events() + " events, "
+                + "rules broken " + result.counts() + ", "
                 + result.wallNanos() / 1_000_000 + " ms");
         return seen;
     }
