--- a/balancer/src/main/java/baymoor/inventory/CallPacing.java
+++ b/balancer/src/main/java/baymoor/inventory/CallPacing.java
@@ -33,6 +33,8 @@
     private static final long FIRST_PART_MICROS = 20_000;
     /** The window doubles three times at most, to six calls a second by all: as slow as that no service is known to be. */
     private static final int MOST_DOUBLINGS = 3;
+    /** And so many are left once it is known that discovery is up: 12 calls a second by all. */
+    private static final int RESUMED_DOUBLINGS = 2;
     /** How long a call on a good connection takes where nobody else calls, with a margin for a slow start. */
     private static final long UNHURRIED_MICROS = 1_000_000;
     /** No call is taken for dead sooner, nor one later that has no connection yet: half of what a change has to be known in is left after the silence before it. */
@@ -66,10 +68,10 @@
 
     /**
      * Discovery is up again, as another balancer says that has its list. All hear so within a second, so their calls are
-     * spread over twice the first window.
+     * still spread widely: with what the list stops known by then, a call is less urgent than an answer to each is.
      */
     public void resumed() {
-        doublings = Math.min(1, doublings);
+        doublings = Math.min(RESUMED_DOUBLINGS, doublings);
     }
 
     /** The time to wait from now on to this balancer's turn in the present window. */
--- a/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
@@ -110,7 +110,8 @@
      * that fell silent; {@code add}: of a new one; {@code spread}: until a change is written to a watch; a call costs
      * {@code callMicros} and {@code lineMicros} for each entry, and fails after waiting {@code patienceMicros}, or where it
      * would have to and it fails {@code atOnce}, which costs {@code failedMicros}. A balancer starts with the list as it is, or
-     * {@code startsAsHeld}, with the one that was written to it last. Where
+     * {@code startsAsHeld}, with the one that was written to it last. While it is down it takes no connections, or
+     * {@code busyWhenDown}, answers each call as it does where there are too many. Where
      * lists are {@code pushed}, an agent on each balancer's machine has them {@code spread} later and answers at once.
      */
     public record Discovery(
@@ -124,7 +125,8 @@
             long patienceMicros,
             long failedMicros,
             boolean atOnce,
-            boolean startsAsHeld) {}
+            boolean startsAsHeld,
+            boolean busyWhenDown) {}
 
     /**
      * Open-loop traffic. {@code zoneShares}: of the zones in their order; {@code wave}: swing of a slow sine with the
--- a/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/ScenarioReader.java
@@ -257,7 +257,8 @@
                 t.time("patience", 2 * SECOND),
                 t.time("failed", 0),
                 t.flag("at_once", false),
-                t.flag("starts_as_held", false));
+                t.flag("starts_as_held", false),
+                t.flag("busy_when_down", false));
         t.end();
         return discovery;
     }
--- a/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
+++ b/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
@@ -254,7 +254,7 @@
     }
 
     LinkEvents accept(Link link, int balancer) {
-        if (!up) {
+        if (!up && !spec.busyWhenDown()) {
             return null;
         }
         Connection c = new Connection(link, balancer);
@@ -352,6 +352,10 @@
 
         /** One after another: a call begins when those before it are done. */
         private void call(String target) {
+            if (!up) {
+                turnDown();
+                return;
+            }
             boolean watching = target.contains("watch=1");
             if (!target.startsWith("/v1/servers")) {
                 end(404, "Not Found");
