--- a/balancer/src/test/java/baymoor/World.java
+++ b/balancer/src/test/java/baymoor/World.java
@@ -9,13 +9,16 @@
 import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
@@ -33,11 +36,12 @@
     private final List<String> endpoints = new ArrayList<>();
     private final CountDownLatch watched = new CountDownLatch(1);
     private final BlockingQueue<Integer> watchedAt = new LinkedBlockingQueue<>();
-    private final int port = freePort();
+    private final Socket reserved = reservedPort();
+    private final int port = reserved.getLocalPort();
     private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
     private volatile boolean scripted;
     private boolean pushed;
-    private String[] instead = {"", ""};
+    private final Map<String, String> replaced = new LinkedHashMap<>();
     private Process process;
     private BufferedReader errors;
     private Path file;
@@ -70,19 +74,26 @@
         }
     }
 
-    /** A router whose machine takes no connection up until {@link #answers} is counted down. */
+    /** A router or origin whose machine takes no connection up until {@link #answers} is counted down. */
     final class Late {
         final BlockingQueue<List<String>> got = new LinkedBlockingQueue<>();
         final CountDownLatch answers = new CountDownLatch(1);
 
+        /** A router. */
         Late(String name, String answer) throws IOException {
+            this(name, "two-core", words -> answer);
+        }
+
+        /** @param type the type that discovery tells, {@code origin} for one that speaks HTTP */
+        Late(String name, String type, Function<List<String>, String> answer) throws IOException {
+            boolean http = type.equals("origin");
             ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
             open.add(server);
             // So many fill its queue: further calls are passed over, and come again after a second.
             for (int i = 0; i < 2; i++) {
                 open.add(new Socket(server.getInetAddress(), server.getLocalPort()));
             }
-            endpoints.add(endpoint(name, server.getLocalPort(), "two-core", "in_service", 0));
+            endpoints.add(endpoint(name, server.getLocalPort(), type, "in_service", 0));
             daemon(() -> {
                 try {
                     answers.await();
@@ -95,8 +106,9 @@
                     daemon(() -> {
                         InputStream in = new BufferedInputStream(socket.getInputStream());
                         while (true) {
-                            got.add(command(in));
-                            socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                            List<String> words = http ? request(in) : command(in);
+                            got.add(words);
+                            socket.getOutputStream().write(answer.apply(words).getBytes(StandardCharsets.ISO_8859_1));
                         }
                     });
                 }
@@ -253,19 +265,23 @@
     }
 
     String config() throws IOException {
-        return ("{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery()
+        String config =
+                "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:" + discovery()
                         + "\","
                         + "\"seed\":\"1f\",\"limits\":{\"sockets\":1024,\"memory_mb\":128},\"known\":{\"index\":0,\"endpoints\":["
                         + String.join(",", endpoints) + "]},\"settings\":"
                         + Files.readString(Path.of("balancer/src/test/resources/settings.json"))
                                 .replace("subscribe", pushed ? "automatic" : "subscribe")
-                        + "}")
-                .replace(instead[0], instead[1]);
+                        + "}";
+        for (Map.Entry<String, String> each : replaced.entrySet()) {
+            config = config.replace(each.getKey(), each.getValue());
+        }
+        return config;
     }
 
     /** From now on configurations hold another text in the place of one of theirs. */
     World with(String was, String is) {
-        instead = new String[] {was, is};
+        replaced.put(was, is);
         return this;
     }
 
@@ -474,9 +490,17 @@
         return words;
     }
 
-    private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    /**
+     * Keeps a free port for the program. Seen: between the choice of a port and the program's start another test of the machine
+     * took it, and one's client spoke with the other's program. A socket that is bound and does not listen keeps the port from
+     * being chosen again, and the program, which reuses addresses as well, may still listen there.
+     */
+    private static Socket reservedPort() {
+        try {
+            Socket reserved = new Socket();
+            reserved.setReuseAddress(true);
+            reserved.bind(new InetSocketAddress("127.0.0.1", 0));
+            return reserved;
         } catch (IOException e) {
             throw new java.io.UncheckedIOException(e);
         }
@@ -487,6 +511,7 @@
         if (process != null) {
             process.destroyForcibly();
         }
+        reserved.close();
         for (Closeable c : open) {
             c.close();
         }
