--- a/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
+++ b/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
@@ -10,14 +10,15 @@
 import baymoor.north.North;
 import baymoor.north.Taken;
 import baymoor.peers.Peers;
-import baymoor.south.Parcel;
 import baymoor.south.Reply;
+import baymoor.south.RequestContent;
 import baymoor.south.South;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import merlinstep.Decisions;
 import merlinstep.Decisions.Action;
@@ -44,12 +45,12 @@
 import merlinstep.Decisions.WatchServers;
 
 /** Stands between the decisions and all else: hands them every event and carries out what they order, in order. */
-public final class Dispatcher implements Intake, South.Ends, Decisions.Sink {
+public final class Dispatcher implements Intake, South.Listener, Decisions.Sink {
 
     /** Where the decisions fail on a timer, it comes again after this long, or their clockwork would stand still. */
     private static final long TIMER_AGAIN_MICROS = 50_000;
 
-    /** A request that the decisions know of, or one of whose relays is still out. */
+    /** A request that the decisions know of, or one of whose attempts is still out. */
     private static final class Open {
         final long ticket;
         final Taken taken;
@@ -78,6 +79,8 @@
     private South south;
     private Discovery discovery;
     private Peers peers;
+    /** Whether the list held may still be used. */
+    private BooleanSupplier listCurrent = () -> true;
 
     public Dispatcher(
             Decisions decisions,
@@ -102,11 +105,20 @@
         peers = others;
     }
 
+    /** Attempts begin only while this holds; requests are turned away at once meanwhile. */
+    public void beginOnlyWhile(BooleanSupplier condition) {
+        listCurrent = condition;
+    }
+
     @Override
     public void taken(long ticket, Taken t) {
         String id = Long.toString(ticket);
         requests.put(id, new Open(ticket, t));
         ids.add(t.id());
+        if (!listCurrent.getAsBoolean()) {
+            end(id, new Answer.BackOff(0));
+            return;
+        }
         deliver(new Request(
                 id,
                 t.requestClass(),
@@ -162,9 +174,9 @@
     }
 
     @Override
-    public void relayEnded(String request, int attempt, long host, Reply reply, long latencyMicros) {
+    public void attemptEnded(String request, int attempt, long host, Reply reply, long latencyMicros) {
         Open r = requests.get(request);
-        if (!Invariant.check(r != null && r.out > 0, "a relay ends once, before its request is forgotten")) {
+        if (!Invariant.check(r != null && r.out > 0, "an attempt ends once, before its request is forgotten")) {
             return;
         }
         r.out--;
@@ -269,12 +281,16 @@
         }
         long now = time.now();
         boolean alone =
-                limits.secondCopies() || Invariant.check(r.out == 0, "no two relays of one request are out together");
+                limits.secondCopies() || Invariant.check(r.out == 0, "no two attempts of one request are out together");
         int attempt = r.attempts++;
         r.out++;
+        if (r.out == 1 && !r.done && !listCurrent.getAsBoolean()) {
+            // Answered now: each further attempt would be turned away like this one.
+            end(a.request(), r.ranMicros == Long.MAX_VALUE ? new Answer.BackOff(0) : new Answer.Failed());
+        }
         if (r.done || !alone || attempt >= limits.maxAttempts() || now >= r.taken.deadlineMicros()) {
             Reply unsent = new Reply(Outcome.NOT_SENT, null, 0, new double[0], false);
-            time.after(0, () -> relayEnded(a.request(), attempt, a.server(), unsent, 0));
+            time.after(0, () -> attemptEnded(a.request(), attempt, a.server(), unsent, 0));
             return;
         }
         long most = r.taken.deadlineMicros() - now;
@@ -284,7 +300,7 @@
                 a.request(),
                 attempt,
                 a.server(),
-                new Parcel(t.key(), t.id(), t.facts(), t.value()),
+                new RequestContent(t.key(), t.id(), t.facts(), t.value()),
                 now + wait,
                 () -> mayBegin(r));
     }
@@ -303,7 +319,7 @@
                             case KEYED -> time.now() < r.ranMicros + kind.windowMicros();
                             case UNSAFE -> false;
                         };
-        return harmless && !r.done && north.waits(r.ticket);
+        return harmless && !r.done && north.waits(r.ticket) && listCurrent.getAsBoolean();
     }
 
     private void end(String id, Answer answer) {
--- a/emulator/src/main/java/baymoor/emulator/world/Origin.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Origin.java
@@ -103,6 +103,7 @@
         connections.clear();
     }
 
+    /** Its process is up. */
     public void start() {
         up = true;
     }
@@ -263,7 +264,7 @@
                 fail();
                 return;
             }
-            long size = catalogue.thing(number()).size();
+            long size = catalogue.profile(number()).size();
             byte[] value = Values.value(key, id, size);
             judge.made(id, value);
             if (!from.over) {
