emulator: the routers of a world are a class of their own

Change: places, entries and what befalls routers move to Routers as they were; World keeps origin, discovery, clients, balancers and the script. No change in behaviour.

--- /dev/null
+++ b/emulator/src/main/java/baymoor/emulator/world/Routers.java
@@ -0,0 +1,260 @@
+package baymoor.emulator.world;
+
+import baymoor.emulator.chance.Streams;
+import baymoor.emulator.judge.Judge;
+import baymoor.emulator.report.Tally;
+import baymoor.emulator.scenario.Scenario;
+import baymoor.emulator.scenario.Scenario.RouterKind;
+import baymoor.emulator.scenario.Scenario.ScriptedEvent;
+import baymoor.emulator.world.DiscoveryService.Sign;
+import baymoor.emulator.world.Listing.Entry;
+import baymoor.emulator.world.Listing.Status;
+import baymoor.link.Time;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** The routers of a world: one at each place, its entry in the inventory, and the scripted events that befall them. */
+final class Routers {
+
+    private static final double ROUGH = 0.1;
+    /** Over all routers: a large fleet would spend minutes and memory on what most of it is never asked for. */
+    private static final int MOST_PREFILLED = 400_000;
+
+    private final Scenario scenario;
+    private final Platform platform;
+    private final Streams streams;
+    private final Time time;
+    private final UniformRandomProvider chance;
+    private final Catalogue catalogue;
+    private final Fills fills;
+    private final Judge judge;
+    private final Arrivals arrivals;
+    private final Tally tally;
+    private final BiConsumer<String, String> said;
+    private final BiConsumer<Entry, Sign> changed;
+    private final List<Slot> slots = new ArrayList<>();
+    private int replacements;
+
+    /** A place for a router, and who is there now. */
+    private static final class Slot {
+        final int place;
+        Router router;
+        Entry entry;
+
+        Slot(int place) {
+            this.place = place;
+        }
+    }
+
+    /**
+     * @param said    hears of events: what happened, and to which router
+     * @param changed hears of changed entries, and by what sign discovery can notice them
+     */
+    Routers(
+            Scenario scenario,
+            Platform platform,
+            Streams streams,
+            Time time,
+            UniformRandomProvider chance,
+            Catalogue catalogue,
+            Fills fills,
+            Judge judge,
+            Arrivals arrivals,
+            Tally tally,
+            BiConsumer<String, String> said,
+            BiConsumer<Entry, Sign> changed) {
+        this.scenario = scenario;
+        this.platform = platform;
+        this.streams = streams;
+        this.time = time;
+        this.chance = chance;
+        this.catalogue = catalogue;
+        this.fills = fills;
+        this.judge = judge;
+        this.arrivals = arrivals;
+        this.tally = tally;
+        this.said = said;
+        this.changed = changed;
+        int place = 0;
+        for (RouterKind kind : scenario.routers()) {
+            for (int i = 0; i < kind.count(); i++) {
+                Slot slot = new Slot(place++);
+                slot.router =
+                        router("s-" + slot.place, slot.place % scenario.zones().size(), kind);
+                slots.add(slot);
+            }
+        }
+    }
+
+    private Router router(String name, int zone, RouterKind kind) {
+        return new Router(
+                name,
+                zone,
+                kind,
+                scenario.figures(),
+                platform.time(name, zone),
+                streams.of(name),
+                catalogue,
+                fills,
+                judge,
+                arrivals,
+                tally,
+                this::fell);
+    }
+
+    /** How many places there are, from 0 on. */
+    int count() {
+        return slots.size();
+    }
+
+    /** The name of the router that is at a place, or was last. */
+    String nameAt(int place) {
+        return slots.get(place).router.name();
+    }
+
+    /** Lets all of them listen, with what they would hold in service; {@code listed} gets their entries. */
+    void open(Consumer<Entry> listed) {
+        List<Router.Popular> popular = new ArrayList<>();
+        int held = Math.min(scenario.keys().count(), MOST_PREFILLED / Math.max(1, slots.size()));
+        for (int rank = 0; rank < held && scenario.keys().prefill(); rank++) {
+            long key = catalogue.key(rank, 0);
+            popular.add(new Router.Popular(
+                    Catalogue.name(key), catalogue.profile(key).size()));
+        }
+        for (Slot slot : slots) {
+            slot.router.start(0);
+            slot.router.prefill(popular);
+            slot.entry = entry(slot);
+            listed.accept(slot.entry);
+            listen(slot);
+        }
+    }
+
+    /** The copies of a key are void, wherever they are. */
+    void voided(String key) {
+        slots.forEach(slot -> slot.router.voided(key));
+    }
+
+    /** So large a share of the copies at each router goes void. */
+    void flush(double share) {
+        slots.forEach(slot -> slot.router.flush(share));
+    }
+
+    private Entry entry(Slot slot) {
+        Router r = slot.router;
+        double rough = r.size() * (1 + ROUGH * (2 * chance.nextDouble() - 1));
+        return new Entry(
+                r.name(),
+                slot.place,
+                scenario.zones().get(r.zone()),
+                r.kind().name(),
+                0,
+                Status.IN_SERVICE,
+                Math.round(rough * 100) / 100.0,
+                r.since());
+    }
+
+    private void listen(Slot slot) {
+        Router r = slot.router;
+        platform.listen(slot.place, r.name(), r.zone(), r::accept);
+    }
+
+    /** Of all reads, those due to cold routers when their weights are cut by what they can do at present. */
+    double coldDue() {
+        double cold = 0;
+        double all = 0;
+        for (Slot s : slots) {
+            double weight = s.router.state() == Router.State.UP ? s.router.size() * s.router.warmth() : 0;
+            all += weight;
+            cold += s.router.cold() ? weight : 0;
+        }
+        return all == 0 ? 0 : cold / all;
+    }
+
+    private void fell(Router router) {
+        slots.stream().filter(s -> s.router == router).forEach(s -> {
+            said.accept("fell", router.name());
+            gone(s, false);
+        });
+    }
+
+    private void gone(Slot slot, boolean silently) {
+        platform.stopListening(slot.place, silently);
+        changed.accept(slot.entry.with(Status.TERMINATED), silently ? Sign.SILENT : Sign.ENDED);
+    }
+
+    /** So many of the routers that run, chosen by the seed, within a zone where one is named. */
+    private List<Slot> some(ScriptedEvent event) {
+        List<Slot> running = new ArrayList<>(slots.stream()
+                .filter(s -> s.router.state() == Router.State.UP
+                        && (event.zone().isEmpty()
+                                || scenario.zones().get(s.router.zone()).equals(event.zone())))
+                .toList());
+        Collections.shuffle(running, new Random(chance.nextLong()));
+        return running.subList(0, Math.min(event.count(), running.size()));
+    }
+
+    /** Lets an event befall as many routers as it names. */
+    void befall(ScriptedEvent event) {
+        some(event).forEach(slot -> befall(event, slot));
+    }
+
+    private void befall(ScriptedEvent event, Slot slot) {
+        Router r = slot.router;
+        said.accept(event.what().name().toLowerCase(Locale.ROOT), r.name());
+        switch (event.what()) {
+            case RESTART_ROUTER, VANISH_ROUTER -> {
+                gone(slot, event.what() == Scenario.EventKind.VANISH_ROUTER);
+                r.stop();
+                time.after(event.forMicros(), () -> startCold(slot));
+            }
+            case REPLACE_ROUTER -> {
+                gone(slot, false);
+                r.stop();
+                slot.router = router("s-" + slot.place + "r" + ++replacements, r.zone(), r.kind());
+                time.after(event.forMicros(), () -> startCold(slot));
+            }
+            case DRAIN_ROUTER -> {
+                r.drain();
+                changed.accept(slot.entry.with(Status.TERMINATING), Sign.ENDED);
+                time.after(event.forMicros(), () -> {
+                    if (slot.router == r && r.state() == Router.State.DRAINING) {
+                        r.undrain();
+                        changed.accept(slot.entry, Sign.ADDED);
+                    }
+                });
+            }
+            case PAUSE_ROUTER -> r.pause(event.forMicros());
+            case SLOW_ROUTER -> {
+                r.slow(event.factor());
+                time.after(event.forMicros(), () -> r.slow(1));
+            }
+            case HANG_ROUTER -> {
+                r.hang(true);
+                time.after(event.forMicros(), () -> r.hang(false));
+            }
+            case BAD_ROUTER -> {
+                r.spoil(event.spoil(), event.share());
+                time.after(event.forMicros(), () -> r.spoil(null, 0));
+            }
+            default -> throw new IllegalStateException("not an act on a router: " + event.what());
+        }
+    }
+
+    private void startCold(Slot slot) {
+        Router r = slot.router;
+        if (r.state() != Router.State.DOWN) {
+            return;
+        }
+        r.start(time.now() / 1000 * 1000);
+        slot.entry = entry(slot);
+        listen(slot);
+        changed.accept(slot.entry, Sign.ADDED);
+    }
+}
--- a/emulator/src/main/java/baymoor/emulator/world/World.java
+++ b/emulator/src/main/java/baymoor/emulator/world/World.java
@@ -5,7 +5,6 @@
 import baymoor.emulator.judge.Judge;
 import baymoor.emulator.report.Tally;
 import baymoor.emulator.scenario.Scenario;
-import baymoor.emulator.scenario.Scenario.RouterKind;
 import baymoor.emulator.scenario.Scenario.ScriptedEvent;
 import baymoor.emulator.world.DiscoveryService.Sign;
 import baymoor.emulator.world.Listing.Entry;
@@ -24,11 +23,8 @@
 public final class World {
 
     private static final long WAIT_MICROS = 200_000;
-    private static final double ROUGH = 0.1;
     /** Of the longest time that a client waits: past it nothing more can come. */
     private static final int END_WAIT_FACTOR = 4;
-    /** Over all routers: a large fleet would spend minutes and memory on what most of it is never asked for. */
-    private static final int MOST_PREFILLED = 400_000;
 
     private final Scenario scenario;
     private final Platform platform;
@@ -41,7 +37,7 @@
     private final Catalogue catalogue;
     private final Fills fills;
     private final Arrivals arrivals;
-    private final List<Slot> slots = new ArrayList<>();
+    private final Routers routers;
     private final Origin origin;
     private final DiscoveryService discovery;
     private final Clients clients;
@@ -50,18 +46,6 @@
 
     private long start;
     private Fleet fleet;
-    private int replacements;
-
-    /** A place for a router, and who is there now. */
-    private static final class Slot {
-        final int place;
-        Router router;
-        Entry entry;
-
-        Slot(int place) {
-            this.place = place;
-        }
-    }
 
     /** @param said hears what the script does: the act, and to whom */
     public World(
@@ -81,20 +65,21 @@
         chance = streams.of("script");
         catalogue = new Catalogue(scenario, scenario.seed());
         fills = new Fills(
-                time,
-                scenario.net().cross().middle(),
-                scenario.origin().fallMicros(),
-                key -> slots.forEach(s -> s.router.voided(key)));
+                time, scenario.net().cross().middle(), scenario.origin().fallMicros(), this::voided);
         arrivals = new Arrivals(judge, platform.hostsTell());
-        int place = 0;
-        for (RouterKind kind : scenario.routers()) {
-            for (int i = 0; i < kind.count(); i++) {
-                Slot slot = new Slot(place++);
-                slot.router =
-                        router("s-" + slot.place, slot.place % scenario.zones().size(), kind);
-                slots.add(slot);
-            }
-        }
+        routers = new Routers(
+                scenario,
+                platform,
+                streams,
+                time,
+                chance,
+                catalogue,
+                fills,
+                judge,
+                arrivals,
+                tally,
+                said,
+                this::changed);
         origin = new Origin(
                 scenario,
                 platform.time(Origin.NAME, 0),
@@ -104,7 +89,7 @@
                 judge,
                 arrivals,
                 tally,
-                this::coldDue,
+                routers::coldDue,
                 this::originFell);
         discovery = new DiscoveryService(
                 scenario.discovery(),
@@ -118,37 +103,29 @@
         Arrays.fill(cutSince, -1);
     }
 
-    private Router router(String name, int zone, RouterKind kind) {
-        return new Router(
-                name,
-                zone,
-                kind,
-                scenario.figures(),
-                platform.time(name, zone),
-                streams.of(name),
-                catalogue,
-                fills,
-                judge,
-                arrivals,
-                tally,
-                this::fell);
+    private void voided(String key) {
+        routers.voided(key);
+    }
+
+    private void changed(Entry entry, Sign sign) {
+        discovery.changed(entry, sign);
     }
 
     /** The place at which the origin listens. */
     public int originPlace() {
-        return slots.size();
+        return routers.count();
     }
 
     /** Where a balancer calls for the list: the service, or where lists are pushed the agent beside it. */
     public int discoveryPlace(int balancer) {
-        return slots.size() + 1 + (scenario.discovery().pushed() ? 1 + balancer : 0);
+        return routers.count() + 1 + (scenario.discovery().pushed() ? 1 + balancer : 0);
     }
 
     /** The host that is at a place, or was last; null where it takes no requests. */
     public String hostAt(int place) {
         return place == originPlace()
                 ? Origin.NAME
-                : place >= 0 && place < slots.size() ? slots.get(place).router.name() : null;
+                : place >= 0 && place < routers.count() ? routers.nameAt(place) : null;
     }
 
     /** The clients of this world. */
@@ -174,20 +151,7 @@
     /** Lets all hosts listen, with what they would hold in service; the balancers may start now. */
     public void open(Fleet balancers) {
         fleet = balancers;
-        List<Router.Popular> popular = new ArrayList<>();
-        int held = Math.min(scenario.keys().count(), MOST_PREFILLED / Math.max(1, slots.size()));
-        for (int rank = 0; rank < held && scenario.keys().prefill(); rank++) {
-            long key = catalogue.key(rank, 0);
-            popular.add(new Router.Popular(
-                    Catalogue.name(key), catalogue.profile(key).size()));
-        }
-        for (Slot slot : slots) {
-            slot.router.start(0);
-            slot.router.prefill(popular);
-            slot.entry = entry(slot);
-            discovery.begin(slot.entry);
-            listen(slot);
-        }
+        routers.open(discovery::begin);
         discovery.begin(
                 new Entry(Origin.NAME, originPlace(), scenario.zones().get(0), "origin", 0, Status.IN_SERVICE, 1, 0));
         platform.listen(originPlace(), Origin.NAME, 0, origin::accept);
@@ -256,49 +220,6 @@
         });
     }
 
-    private Entry entry(Slot slot) {
-        Router r = slot.router;
-        double rough = r.size() * (1 + ROUGH * (2 * chance.nextDouble() - 1));
-        return new Entry(
-                r.name(),
-                slot.place,
-                scenario.zones().get(r.zone()),
-                r.kind().name(),
-                0,
-                Status.IN_SERVICE,
-                Math.round(rough * 100) / 100.0,
-                r.since());
-    }
-
-    private void listen(Slot slot) {
-        Router r = slot.router;
-        platform.listen(slot.place, r.name(), r.zone(), r::accept);
-    }
-
-    /** Of all reads, those due to cold routers when their weights are cut by what they can do at present. */
-    private double coldDue() {
-        double cold = 0;
-        double all = 0;
-        for (Slot s : slots) {
-            double weight = s.router.state() == Router.State.UP ? s.router.size() * s.router.warmth() : 0;
-            all += weight;
-            cold += s.router.cold() ? weight : 0;
-        }
-        return all == 0 ? 0 : cold / all;
-    }
-
-    private void fell(Router router) {
-        slots.stream().filter(s -> s.router == router).forEach(s -> {
-            said.accept("fell", router.name());
-            gone(s, false);
-        });
-    }
-
-    private void gone(Slot slot, boolean silently) {
-        platform.stopListening(slot.place, silently);
-        discovery.changed(slot.entry.with(Status.TERMINATED), silently ? Sign.SILENT : Sign.ENDED);
-    }
-
     private void originFell() {
         said.accept("fell", Origin.NAME);
         stopOrigin(Draw.within(chance, scenario.origin().downMicros()));
@@ -313,21 +234,6 @@
         });
     }
 
-    /** So many of the routers that run, chosen by the seed, within a zone where one is named. */
-    private List<Slot> some(ScriptedEvent event) {
-        List<Slot> running = new ArrayList<>(slots.stream()
-                .filter(s -> s.router.state() == Router.State.UP
-                        && (event.zone().isEmpty()
-                                || scenario.zones().get(s.router.zone()).equals(event.zone())))
-                .toList());
-        shuffle(running);
-        return running.subList(0, Math.min(event.count(), running.size()));
-    }
-
-    private void shuffle(List<?> list) {
-        Collections.shuffle(list, new Random(chance.nextLong()));
-    }
-
     private void play(ScriptedEvent event) {
         said.accept(event.what().name().toLowerCase(java.util.Locale.ROOT), event.zone());
         switch (event.what()) {
@@ -354,7 +260,7 @@
                 time.after(event.forMicros(), () -> origin.slow(1));
             }
             case STOP_ORIGIN -> stopOrigin(event.forMicros());
-            case FLUSH -> slots.forEach(slot -> slot.router.flush(event.share()));
+            case FLUSH -> routers.flush(event.share());
             case HOT_KEY -> {
                 clients.hot(event.share(), chance.nextLong());
                 time.after(event.forMicros(), () -> clients.hot(0, 0));
@@ -382,7 +288,7 @@
             }
             case RESTART_BALANCERS -> restartBalancers(event);
             case KILL_BALANCER, VANISH_BALANCER, STALL_BALANCER -> balancers(event);
-            default -> some(event).forEach(slot -> befall(event, slot));
+            default -> routers.befall(event);
         }
     }
 
@@ -402,7 +308,7 @@
         for (int b = 0; b < fleet.count(); b++) {
             numbers.add(b);
         }
-        shuffle(numbers);
+        Collections.shuffle(numbers, new Random(chance.nextLong()));
         return numbers;
     }
 
@@ -425,57 +331,4 @@
             fleet.restart(balancer, event.planned());
         }
     }
-
-    private void befall(ScriptedEvent event, Slot slot) {
-        Router r = slot.router;
-        said.accept(event.what().name().toLowerCase(java.util.Locale.ROOT), r.name());
-        switch (event.what()) {
-            case RESTART_ROUTER, VANISH_ROUTER -> {
-                gone(slot, event.what() == Scenario.EventKind.VANISH_ROUTER);
-                r.stop();
-                time.after(event.forMicros(), () -> startCold(slot));
-            }
-            case REPLACE_ROUTER -> {
-                gone(slot, false);
-                r.stop();
-                slot.router = router("s-" + slot.place + "r" + ++replacements, r.zone(), r.kind());
-                time.after(event.forMicros(), () -> startCold(slot));
-            }
-            case DRAIN_ROUTER -> {
-                r.drain();
-                discovery.changed(slot.entry.with(Status.TERMINATING), Sign.ENDED);
-                time.after(event.forMicros(), () -> {
-                    if (slot.router == r && r.state() == Router.State.DRAINING) {
-                        r.undrain();
-                        discovery.changed(slot.entry, Sign.ADDED);
-                    }
-                });
-            }
-            case PAUSE_ROUTER -> r.pause(event.forMicros());
-            case SLOW_ROUTER -> {
-                r.slow(event.factor());
-                time.after(event.forMicros(), () -> r.slow(1));
-            }
-            case HANG_ROUTER -> {
-                r.hang(true);
-                time.after(event.forMicros(), () -> r.hang(false));
-            }
-            case BAD_ROUTER -> {
-                r.spoil(event.spoil(), event.share());
-                time.after(event.forMicros(), () -> r.spoil(null, 0));
-            }
-            default -> throw new IllegalStateException("not an act on a router: " + event.what());
-        }
-    }
-
-    private void startCold(Slot slot) {
-        Router r = slot.router;
-        if (r.state() != Router.State.DOWN) {
-            return;
-        }
-        r.start(time.now() / 1000 * 1000);
-        slot.entry = entry(slot);
-        listen(slot);
-        discovery.changed(slot.entry, Sign.ADDED);
-    }
 }
