emulator: one table of cuts between zones for virtual time and processes

Need: VirtualNet and Fabric each kept the same table of overlapping cuts. Change: ZoneCuts serves both. What Fabric does once a cut of a whole zone is over happens in one pass over the connections instead of one pass for each pair of zones.

--- a/emulator/src/main/java/baymoor/emulator/fabric/Fabric.java
+++ b/emulator/src/main/java/baymoor/emulator/fabric/Fabric.java
@@ -40,9 +40,7 @@
     final Time time;
     private final Scenario.Net net;
     private final UniformRandomProvider chance;
-    /** How many cuts keep the first zone's words from the second. */
-    private final int[][] cuts;
-
+    private final ZoneCuts cuts;
     private final Set<Wire> wires = new LinkedHashSet<>();
     private double loss;
     private long bytesHeld;
@@ -57,31 +55,34 @@
         this.net = net;
         this.time = time;
         this.chance = chance;
-        cuts = new int[zones][zones];
+        cuts = new ZoneCuts(zones);
     }
 
     /** Keeps what one zone says from another, the one way only, or lets it pass again. Cuts may overlap. */
     public void cut(int from, int to, boolean cut) {
-        cuts[from][to] += cut ? 1 : -1;
+        cuts.cut(from, to, cut);
         if (!cut) {
-            for (Wire wire : List.copyOf(wires)) {
-                wire.healed();
-            }
+            healed();
         }
     }
 
     /** Cuts a zone off from all others, or joins it to them again. */
     public void cut(int zone, boolean cut) {
-        for (int other = 0; other < cuts.length; other++) {
-            if (other != zone) {
-                cut(zone, other, cut);
-                cut(other, zone, cut);
-            }
+        cuts.cutOff(zone, cut);
+        if (!cut) {
+            healed();
+        }
+    }
+
+    /** A cut has ended: connections that can pass again go on or are reset. */
+    private void healed() {
+        for (Wire wire : List.copyOf(wires)) {
+            wire.healed();
         }
     }
 
     boolean isCut(int from, int to) {
-        return cuts[from][to] > 0;
+        return cuts.isCut(from, to);
     }
 
     /** Loses so large a share of the datagrams, beside what the scenario loses always. */
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualNet.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualNet.java
@@ -4,6 +4,7 @@
 import baymoor.emulator.chance.Streams;
 import baymoor.emulator.engine.Engine;
 import baymoor.emulator.engine.Site;
+import baymoor.emulator.fabric.ZoneCuts;
 import baymoor.emulator.scenario.Scenario;
 import baymoor.emulator.world.Acceptor;
 import baymoor.emulator.world.Tracked;
@@ -51,7 +52,7 @@
     private final EventLog log;
     private final Streams streams;
     private final long[][] crossing;
-    private final int[][] cuts;
+    private final ZoneCuts cuts;
     private final Map<InetSocketAddress, Listener> listeners = new HashMap<>();
     private final Map<InetSocketAddress, Mailbox> mailboxes = new HashMap<>();
     private final Map<InetSocketAddress, List<InetSocketAddress>> groups = new HashMap<>();
@@ -72,7 +73,7 @@
         this.log = log;
         int zones = scenario.zones().size();
         crossing = new long[zones][zones];
-        cuts = new int[zones][zones];
+        cuts = new ZoneCuts(zones);
         UniformRandomProvider from = streams.of("net");
         for (int a = 0; a < zones; a++) {
             for (int b = 0; b < a; b++) {
@@ -130,12 +131,7 @@
 
     /** Cuts a zone off from all others, or joins it to them again. */
     void cut(int zone, boolean cut) {
-        for (int other = 0; other < cuts.length; other++) {
-            if (other != zone) {
-                cuts[zone][other] += cut ? 1 : -1;
-                cuts[other][zone] += cut ? 1 : -1;
-            }
-        }
+        cuts.cutOff(zone, cut);
         if (!cut) {
             List<End> ends = new ArrayList<>(stuck);
             for (End end : ends) {
@@ -149,7 +145,7 @@
     }
 
     private boolean isCut(Site a, Site b) {
-        return !a.client() && !b.client() && cuts[a.zone()][b.zone()] > 0;
+        return !a.client() && !b.client() && cuts.isCut(a.zone(), b.zone());
     }
 
     private UniformRandomProvider chance(Site site) {
