--- /dev/null
+++ b/scale/src/main/java/baymoor/scale/package-info.java
@@ -0,0 +1,2 @@
+/** Runs of a whole tier of balancers on one machine, and what each balancer costs there. */
+package baymoor.scale;
