--- a/balancer/src/main/java/baymoor/assembly/Assembly.java
+++ b/balancer/src/main/java/baymoor/assembly/Assembly.java
@@ -181,6 +181,11 @@
         return counters;
     }
 
+    /** The version of the list that is held, by which tools measure how long a change takes to be known. */
+    public long listVersion() {
+        return inventory.version();
+    }
+
     /** Takes over what of a new configuration can change under load: where discovery is. The rest needs a new start. */
     public void reload(Settings fresh) {
         log.accept("config: read again, discovery at " + fresh.discovery());
--- a/emulator/src/main/java/baymoor/emulator/scenario/Table.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/Table.java
@@ -17,7 +17,7 @@
  * One table of a TOML file, read field by field. What is wrong is noted with its place and the reading goes on with the
  * value for an absent field, so that one look at a file names all its mistakes; {@link #end} notes what nobody asked for.
  */
-final class Table {
+public final class Table {
 
     /** Up to two letters wrong. */
     private static final LevenshteinDistance LIKENESS = new LevenshteinDistance(2);
@@ -28,18 +28,18 @@
     private final List<Mistake> mistakes;
     private final Set<String> asked = new LinkedHashSet<>();
 
-    Table(TomlTable table, String path, TomlPosition place, List<Mistake> mistakes) {
+    public Table(TomlTable table, String path, TomlPosition place, List<Mistake> mistakes) {
         this.table = table;
         this.path = path;
         this.place = place;
         this.mistakes = mistakes;
     }
 
-    int line() {
+    public int line() {
         return place == null ? 0 : place.line();
     }
 
-    boolean has(String field) {
+    public boolean has(String field) {
         asked.add(field);
         return table.contains(List.of(field));
     }
@@ -49,13 +49,13 @@
         return table.get(List.of(field));
     }
 
-    void mistake(String field, String what) {
+    public void mistake(String field, String what) {
         TomlPosition at = table.contains(List.of(field)) ? table.inputPositionOf(List.of(field)) : place;
         mistakes.add(new Mistake(at == null ? 0 : at.line(), at == null ? 0 : at.column(), path + field + " " + what));
     }
 
     /** A table within, empty where there is none. */
-    Table table(String field) {
+    public Table table(String field) {
         Object value = get(field);
         if (value != null && !(value instanceof TomlTable)) {
             mistake(field, "is not a table");
@@ -69,7 +69,7 @@
     }
 
     /** An array of tables, empty where there is none. */
-    List<Table> tables(String field) {
+    public List<Table> tables(String field) {
         Object value = get(field);
         List<Table> all = new ArrayList<>();
         if (value instanceof TomlArray array && array.toList().stream().allMatch(TomlTable.class::isInstance)) {
@@ -83,7 +83,7 @@
         return all;
     }
 
-    List<String> texts(String field, List<String> absent) {
+    public List<String> texts(String field, List<String> absent) {
         Object value = get(field);
         if (value == null) {
             return absent;
@@ -103,7 +103,7 @@
         return all;
     }
 
-    String text(String field, String absent) {
+    public String text(String field, String absent) {
         Object value = get(field);
         if (value == null || value instanceof String) {
             if (value == null && absent == null) {
@@ -115,7 +115,7 @@
         return absent;
     }
 
-    boolean flag(String field, boolean absent) {
+    public boolean flag(String field, boolean absent) {
         Object value = get(field);
         if (value != null && !(value instanceof Boolean)) {
             mistake(field, "is neither true nor false");
@@ -125,7 +125,7 @@
     }
 
     /** A whole number of things from {@code least} on. */
-    long whole(String field, long least, long absent) {
+    public long whole(String field, long least, long absent) {
         Object value = get(field);
         if (value == null) {
             return absent;
@@ -142,7 +142,7 @@
     }
 
     /** A number without a unit, between two bounds: factors and exponents. */
-    double number(String field, double least, double most, double absent) {
+    public double number(String field, double least, double most, double absent) {
         Object value = get(field);
         if (value == null) {
             return absent;
@@ -187,32 +187,32 @@
     }
 
     /** Microseconds. */
-    long time(String field, long absent) {
+    public long time(String field, long absent) {
         return Math.round(quantity(field, Kind.TIME, absent));
     }
 
     /** Microseconds, which must be stated. */
-    long time(String field) {
+    public long time(String field) {
         if (!has(field)) {
             mistake(field, "is missing");
         }
         return time(field, 0);
     }
 
-    long size(String field, long absent) {
+    public long size(String field, long absent) {
         return Math.round(quantity(field, Kind.SIZE, absent));
     }
 
-    double rate(String field, double absent) {
+    public double rate(String field, double absent) {
         return quantity(field, Kind.RATE, absent);
     }
 
     /** A share of 1, written as {@code "25%"}. */
-    double share(String field, double absent) {
+    public double share(String field, double absent) {
         return within(field, quantity(field, Kind.SHARE, absent), 0, 1, absent);
     }
 
-    List<Double> shares(String field, List<Double> absent) {
+    public List<Double> shares(String field, List<Double> absent) {
         Object value = get(field);
         if (value == null) {
             return absent;
@@ -229,7 +229,7 @@
     }
 
     /** One time, or a list of the least and the most. */
-    Span times(String field, Span absent) {
+    public Span times(String field, Span absent) {
         Object value = get(field);
         if (value == null) {
             return absent;
@@ -251,7 +251,7 @@
     }
 
     /** One of the words of an enumeration, written in small letters with hyphens. */
-    <E extends Enum<E>> E word(String field, Class<E> words, E absent) {
+    public <E extends Enum<E>> E word(String field, Class<E> words, E absent) {
         String text = text(field, absent == null ? null : word(absent));
         for (E e : words.getEnumConstants()) {
             if (word(e).equals(text)) {
@@ -271,7 +271,7 @@
     }
 
     /** Notes every field that nobody asked for, with the nearest one that there is. */
-    void end() {
+    public void end() {
         for (String field : table.keySet()) {
             if (!asked.contains(field)) {
                 String near = asked.stream()
