Scale run: a slowed clock lets a machine carry more hollow balancers than in real time

A full mesh of 640 sends some 400,000 datagrams a second, of 7 us each here (send and receive, measured): that and the ticks are more than the machine has.

--- a/cli/src/main/java/baymoor/cli/ScaleRunCommand.java
+++ b/cli/src/main/java/baymoor/cli/ScaleRunCommand.java
@@ -43,6 +43,13 @@
             description = "So many balancers in all; the real ones stay as many, and the origin grows along.")
     private Integer balancers;
 
+    @Option(
+            names = "--slowdown",
+            paramLabel = "K",
+            description =
+                    "Let the run's clock go K times slower than the machine's, which then carries more hollow balancers.")
+    private Integer slowdown;
+
     @Option(
             names = "--json",
             paramLabel = "OUT",
@@ -68,6 +75,17 @@
             }
             plan = plan.withBalancers(balancers);
         }
+        if (slowdown != null) {
+            if (slowdown < 1 || slowdown > ScalePlanReader.MOST_SLOWDOWN) {
+                throw new CommandLine.ParameterException(
+                        spec.commandLine(), "--slowdown is not from 1 to " + ScalePlanReader.MOST_SLOWDOWN);
+            }
+            if (slowdown > 1 && plan.balancers().real() > 0) {
+                throw new CommandLine.ParameterException(
+                        spec.commandLine(), "--slowdown: real balancers' clocks can't be slowed down");
+            }
+            plan = plan.withSlowdown(slowdown);
+        }
         return play(seed == null ? plan : plan.withSeed(seed));
     }
 
--- a/scale/src/main/java/baymoor/scale/hollow/Assignment.java
+++ b/scale/src/main/java/baymoor/scale/hollow/Assignment.java
@@ -9,15 +9,16 @@
  * @param numbers      of the balancers in this process
  * @param balancers    of the whole tier
  * @param addresses    at which each balancer of the tier receives, by number, in figures with a port
+ * @param slowdown     real seconds to a second of the run
  * @param perLoop      balancers to a decision thread
  * @param zones        zone of each balancer of the tier, by number
  * @param sites        site of each balancer of the tier, by number
  * @param regions      region of each zone
- * @param originKind   list type that marks the origin
  */
 public record Assignment(
         String folder,
         long seed,
+        int slowdown,
         List<Integer> numbers,
         int balancers,
         int real,
--- a/scale/src/main/java/baymoor/scale/hollow/DecisionLoop.java
+++ b/scale/src/main/java/baymoor/scale/hollow/DecisionLoop.java
@@ -34,7 +34,8 @@
     private final ConcurrentLinkedQueue<Runnable> posted = new ConcurrentLinkedQueue<>();
     private final PriorityQueue<Due> timers = new PriorityQueue<>();
     private final Consumer<String> log;
-    private final long startNanos = System.nanoTime();
+    private final RunClock clock;
+    private final long startMicros;
     private final long[] nanos = new long[Work.values().length];
     private final Histogram lateness = new Histogram(LONGEST_LATENESS_MICROS, 2);
     private final Thread thread;
@@ -43,7 +44,9 @@
     private Work work = Work.CONTROL;
     private volatile boolean stopped;
 
-    DecisionLoop(String name, Consumer<String> log) throws IOException {
+    DecisionLoop(String name, RunClock clock, Consumer<String> log) throws IOException {
+        this.clock = clock;
+        startMicros = clock.micros();
         selector = Selector.open();
         this.log = log;
         thread = new Thread(this, name);
@@ -93,6 +96,10 @@
         selector.wakeup();
     }
 
+    RunClock clock() {
+        return clock;
+    }
+
     void stop() {
         stopped = true;
         selector.wakeup();
@@ -105,7 +112,7 @@
 
     /** What the clock shows now. */
     long read() {
-        return ORIGIN_MICROS + (System.nanoTime() - startNanos) / 1000;
+        return ORIGIN_MICROS + clock.micros() - startMicros;
     }
 
     @Override
@@ -177,7 +184,7 @@
         } else if (next == null) {
             selector.select();
         } else {
-            selector.select(Math.max(1, (waitMicros + MICROS_A_MILLI - 1) / MICROS_A_MILLI));
+            selector.select(Math.max(1, (clock.real(waitMicros) + MICROS_A_MILLI - 1) / MICROS_A_MILLI));
         }
         Iterator<SelectionKey> keys = selector.selectedKeys().iterator();
         while (keys.hasNext()) {
--- a/scale/src/main/java/baymoor/scale/hollow/HollowBalancer.java
+++ b/scale/src/main/java/baymoor/scale/hollow/HollowBalancer.java
@@ -31,6 +31,7 @@
     /** What the balancers of one process have in common. */
     record Surroundings(
             Assignment assignment,
+            RunClock clock,
             PlaceNetwork network,
             List<InetSocketAddress> addresses,
             Map<InetSocketAddress, Integer> numbers,
@@ -173,7 +174,7 @@
             long held = parts.listVersion();
             if (held != version) {
                 version = held;
-                known.add(new Known(held, System.nanoTime() / 1000));
+                known.add(new Known(held, around.clock().micros()));
             }
         }
 
@@ -183,7 +184,7 @@
             }
             Integer sender = around.numbers().get(from);
             if (sender != null) {
-                traffic.heard(sender, content.length, System.nanoTime() / 1000);
+                traffic.heard(sender, content.length, around.clock().micros());
             }
             parts.heard(from, content);
             noteVersion();
@@ -194,7 +195,7 @@
             if (receiver == null) {
                 return;
             }
-            traffic.told(receiver, content.length, System.nanoTime() / 1000);
+            traffic.told(receiver, content.length, around.clock().micros());
             if (around.network().plain()) {
                 socket.send(to, content);
                 return;
--- a/scale/src/main/java/baymoor/scale/hollow/HollowProcess.java
+++ b/scale/src/main/java/baymoor/scale/hollow/HollowProcess.java
@@ -52,7 +52,7 @@
 
         /** Looks how old what each balancer knows of each other one is. */
         void sampleAges() {
-            long now = System.nanoTime() / 1000;
+            long now = loop.clock().micros();
             for (HollowBalancer balancer : balancers) {
                 Traffic traffic = balancer.traffic();
                 note(ages, traffic.heardMicros, now);
@@ -71,11 +71,13 @@
 
     private final Assignment assignment;
     private final PrintStream out;
+    private final RunClock clock;
     private final List<Group> groups = new ArrayList<>();
 
     private HollowProcess(Assignment assignment, PrintStream out) throws IOException {
         this.assignment = assignment;
         this.out = out;
+        clock = new RunClock(assignment.slowdown());
         Consumer<String> log = line -> System.err.println(line);
         List<InetSocketAddress> addresses =
                 assignment.addresses().stream().map(Address::parse).toList();
@@ -89,14 +91,14 @@
         for (int number : assignment.numbers()) {
             if (group == null || group.balancers.size() >= assignment.perLoop()) {
                 group = new Group(
-                        new DecisionLoop("decisions-" + groups.size(), log),
+                        new DecisionLoop("decisions-" + groups.size(), clock, log),
                         new PlaceNetwork(assignment, assignment.seed() * 31 + number));
                 groups.add(group);
             }
             group.balancers.add(new HollowBalancer(
                     number,
                     group.loop,
-                    new HollowBalancer.Surroundings(assignment, group.network, addresses, numbers, log),
+                    new HollowBalancer.Surroundings(assignment, clock, group.network, addresses, numbers, log),
                     new DrawnWorld(assignment.drawn(), assignment.seed() * 1_000_003 + number, popularity)));
         }
     }
@@ -258,7 +260,7 @@
                 System.gc();
                 heap = ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
             }
-            return sum.totals(cpu, heap);
+            return sum.totals(clock, cpu, heap);
         } catch (InterruptedException e) {
             throw new IllegalStateException(e);
         }
@@ -322,9 +324,9 @@
             traffic.add(balancer.traffic());
         }
 
-        Totals totals(long cpuNanos, long heapBytes) {
+        Totals totals(RunClock clock, long cpuNanos, long heapBytes) {
             return new Totals(
-                    System.nanoTime() / 1000,
+                    clock.micros(),
                     balancers,
                     traffic.messagesIn,
                     traffic.messagesOut,
--- a/scale/src/main/java/baymoor/scale/plan/ScalePlan.java
+++ b/scale/src/main/java/baymoor/scale/plan/ScalePlan.java
@@ -6,10 +6,13 @@
 /**
  * What a scale run plays: a tier of balancers at their places, its routers and traffic, and a script of faults. Times are
  * microseconds, rates a second. Read from a file by {@link ScalePlanReader}.
+ *
+ * @param slowdown real seconds to a second of the run, with hollow balancers only
  */
 public record ScalePlan(
         String name,
         long seed,
+        int slowdown,
         long warmUpMicros,
         long durationMicros,
         Places places,
@@ -99,6 +102,7 @@
         return new ScalePlan(
                 name,
                 seed,
+                slowdown,
                 warmUpMicros,
                 durationMicros,
                 places,
@@ -112,11 +116,31 @@
                 script);
     }
 
+    /** The same plan on a slower clock. */
+    public ScalePlan withSlowdown(int times) {
+        return new ScalePlan(
+                name,
+                seed,
+                times,
+                warmUpMicros,
+                durationMicros,
+                places,
+                balancers,
+                network,
+                routers,
+                origin,
+                traffic,
+                changes,
+                discovery,
+                script);
+    }
+
     /** The same plan with another seed. */
     public ScalePlan withSeed(long other) {
         return new ScalePlan(
                 name,
                 other,
+                slowdown,
                 warmUpMicros,
                 durationMicros,
                 places,
--- a/scale/src/main/java/baymoor/scale/plan/ScalePlanReader.java
+++ b/scale/src/main/java/baymoor/scale/plan/ScalePlanReader.java
@@ -27,6 +27,9 @@
     /** A process each, with some 100 MB. */
     public static final int MOST_REAL = 32;
 
+    /** A run of ten minutes then takes more than three hours. */
+    public static final int MOST_SLOWDOWN = 20;
+
     private static final int MOST_ROUTERS = 400;
     private static final int MOST_SITES = 500;
     private static final long LONGEST_MICROS = 600 * SECOND;
@@ -67,6 +70,7 @@
         String name = top.text("name", Path.of(file).getFileName().toString().replaceAll("\\.toml$", ""));
         top.text("about", "");
         long seed = top.whole("seed", 0, 1);
+        int slowdown = (int) top.whole("slowdown", 1, 1);
         long warmUp = top.time("warm_up", 5 * SECOND);
         long duration = top.time("duration", 20 * SECOND);
         if (duration < SECOND || warmUp + duration > LONGEST_MICROS) {
@@ -76,6 +80,7 @@
         ScalePlan plan = new ScalePlan(
                 name,
                 seed,
+                slowdown,
                 warmUp,
                 duration,
                 places,
@@ -87,6 +92,12 @@
                 changes(top.table("changes")),
                 discovery(top.table("discovery")),
                 script(top, places, duration));
+        if (slowdown > MOST_SLOWDOWN) {
+            top.mistake("slowdown", "is over " + MOST_SLOWDOWN);
+        }
+        if (slowdown > 1 && plan.balancers().real() > 0) {
+            top.mistake("slowdown", "is over 1, but real balancers' clocks can't be slowed down");
+        }
         top.end();
         return plan;
     }
--- a/scale/src/main/java/baymoor/scale/run/ScalePlatform.java
+++ b/scale/src/main/java/baymoor/scale/run/ScalePlatform.java
@@ -7,7 +7,6 @@
 import baymoor.emulator.world.Platform;
 import baymoor.link.Dialer;
 import baymoor.link.Time;
-import baymoor.net.DecisionThread;
 import baymoor.net.MinaNet;
 import baymoor.scale.plan.ScalePlan;
 import java.io.IOException;
@@ -19,7 +18,7 @@
 
     private static final long SLACK_MICROS = 50_000;
 
-    private final DecisionThread thread;
+    private final Time time;
     private final MinaNet net;
     private final ScalePlan plan;
     private final Addresses addresses;
@@ -28,20 +27,14 @@
     private final long unixApart;
 
     /** @param streams from which the fabric's chance comes */
-    ScalePlatform(
-            DecisionThread thread,
-            MinaNet net,
-            ScalePlan plan,
-            Scenario scenario,
-            Addresses addresses,
-            Streams streams) {
-        this.thread = thread;
+    ScalePlatform(Time time, MinaNet net, ScalePlan plan, Scenario scenario, Addresses addresses, Streams streams) {
+        this.time = time;
         this.net = net;
         this.plan = plan;
         this.addresses = addresses;
-        fabric = new Fabric(scenario.net(), plan.places().zones().size(), thread, streams.of("fabric"));
+        fabric = new Fabric(scenario.net(), plan.places().zones().size(), time, streams.of("fabric"));
         discoveryPlace = plan.routers().count() + 1;
-        unixApart = System.currentTimeMillis() - thread.read() / 1000;
+        unixApart = System.currentTimeMillis() - time.now() / 1000;
     }
 
     Fabric fabric() {
@@ -50,7 +43,7 @@
 
     @Override
     public Time time(String host, int zone) {
-        return thread;
+        return time;
     }
 
     @Override
--- a/scale/src/main/java/baymoor/scale/run/ScaleRun.java
+++ b/scale/src/main/java/baymoor/scale/run/ScaleRun.java
@@ -8,10 +8,12 @@
 import baymoor.emulator.world.BalancerConfig;
 import baymoor.emulator.world.Fleet;
 import baymoor.emulator.world.World;
+import baymoor.link.Time;
 import baymoor.net.DecisionThread;
 import baymoor.net.MinaNet;
 import baymoor.scale.hollow.Assignment;
 import baymoor.scale.hollow.Command;
+import baymoor.scale.hollow.RunClock;
 import baymoor.scale.hollow.Status;
 import baymoor.scale.hollow.Totals;
 import baymoor.scale.plan.Places;
@@ -47,6 +49,7 @@
     private static final long STEP_MILLIS = 250;
     private static final long START_SECONDS = 90;
     private static final long SETTLE_SECONDS = 5;
+    private static final long MICROS = 1_000_000;
     private static final long LOOK_MICROS = 2_000;
     /** A subperiod of the split: whoever is so late deals out credits on other figures than it would have. */
     private static final double MOST_LATENESS_MILLIS = 50;
@@ -63,7 +66,9 @@
 
     private final ScalePlan plan;
     private final Options options;
+    private final RunClock clock;
     private final DecisionThread thread;
+    private final Time time;
     private final MinaNet net;
     private final Addresses addresses;
     private final MachineWatch machine;
@@ -80,6 +85,8 @@
         this.plan = plan;
         this.options = options;
         thread = new DecisionThread(new Counters(), line -> reasons.add("the stand-ins failed: " + line));
+        clock = new RunClock(plan.slowdown());
+        time = new SlowedTime(thread, plan.slowdown());
         net = new MinaNet(thread);
         addresses = new Addresses(plan.balancers().real());
         machine = new MachineWatch(addresses.own());
@@ -89,8 +96,8 @@
         Streams streams = new Streams(plan.seed());
         tier = Scenarios.tier(plan);
         Scenario real = Scenarios.real(plan);
-        platform = new ScalePlatform(thread, net, plan, real, addresses, streams);
-        Judge judge = new Judge(thread::now, real.figures(), platform.slackMicros(), broken -> {});
+        platform = new ScalePlatform(time, net, plan, real, addresses, streams);
+        Judge judge = new Judge(time::now, real.figures(), platform.slackMicros(), broken -> {});
         world = new World(
                 real,
                 platform,
@@ -138,8 +145,8 @@
 
     /** Discovery's version is looked at often enough to say when it changed. */
     private void watchVersion() {
-        changes.shown(world.index(0), System.nanoTime() / 1000);
-        thread.after(LOOK_MICROS, this::watchVersion);
+        changes.shown(world.index(0), clock.micros());
+        time.after(LOOK_MICROS, this::watchVersion);
     }
 
     private <T> T onThread(Callable<T> task) throws IOException, InterruptedException {
@@ -188,6 +195,7 @@
         return new Assignment(
                 options.folder().toString(),
                 plan.seed(),
+                plan.slowdown(),
                 numbers,
                 count,
                 plan.balancers().real(),
@@ -235,7 +243,7 @@
 
     /** Waits until each hollow balancer was told a list and has heard all others. */
     private void awaitReady() throws IOException, InterruptedException {
-        long until = System.nanoTime() + START_SECONDS * 1_000_000_000L;
+        long until = clock.micros() + START_SECONDS * MICROS;
         while (true) {
             Status status = hollow.status();
             int count = plan.balancers().hollow();
@@ -246,7 +254,7 @@
             if (hollow.anyEnded()) {
                 throw new IOException("a process of hollow balancers ended; see the logs in " + options.folder());
             }
-            if (System.nanoTime() > until) {
+            if (clock.micros() > until) {
                 reasons.add(String.format(
                         "after %d s %d of %d balancers had a list and %d had heard all others",
                         START_SECONDS, status.listed(), count, status.heardAll()));
@@ -273,7 +281,7 @@
         origin.reset();
         long droppedBefore = machine.drops();
         List<Totals> before = hollow.sample(false);
-        long from = System.nanoTime() / 1000;
+        long from = clock.micros();
         options.progress().accept("measuring");
         pass(plan.durationMicros());
         List<Totals> after = hollow.sample(false);
@@ -286,18 +294,18 @@
     /** Waits a while until the last change is known everywhere. */
     private void settle() throws IOException, InterruptedException {
         long version = onThread(() -> world.index(0));
-        long until = System.nanoTime() + SETTLE_SECONDS * 1_000_000_000L;
-        while (hollow.status().version() < version && System.nanoTime() < until) {
+        long until = clock.micros() + SETTLE_SECONDS * MICROS;
+        while (hollow.status().version() < version && clock.micros() < until) {
             Thread.sleep(STEP_MILLIS);
         }
     }
 
     /** Lets time pass, and the drawn origin know how much all ask of it. */
     private void pass(long micros) throws IOException, InterruptedException {
-        long until = System.nanoTime() + micros * 1000;
-        while (System.nanoTime() < until) {
-            Thread.sleep(Math.max(1, Math.min(STEP_MILLIS, (until - System.nanoTime()) / 1_000_000)));
-            double load = origin.read(System.nanoTime() / 1e9, hollow.status().fetches());
+        long until = clock.micros() + micros;
+        for (long left = micros; left > 0; left = until - clock.micros()) {
+            Thread.sleep(Math.max(1, Math.min(STEP_MILLIS, clock.real(left) / 1000)));
+            double load = origin.read(clock.micros() / 1e6, hollow.status().fetches());
             hollow.order(Command.value(Command.Order.ORIGIN_LOAD, load));
             if (hollow.anyEnded()) {
                 throw new IOException("a process of hollow balancers ended; see the logs in " + options.folder());
@@ -307,7 +315,7 @@
 
     private ScaleResult result(String file, Figures figures, long from, long dropped, double late)
             throws IOException, InterruptedException {
-        double lateness = Math.max(late, figures.latenessP99Millis());
+        double lateness = Math.max(late / clock.slowdown(), figures.latenessP99Millis());
         double datagrams = figures.grown(Totals::messagesOut);
         if (lateness > MOST_LATENESS_MILLIS) {
             reasons.add(String.format("the machine was the limit: threads ran %.0f ms late (p99)", lateness));
@@ -370,6 +378,7 @@
 
     private Map<String, Double> notes(Figures figures) {
         Map<String, Double> notes = new LinkedHashMap<>();
+        notes.put("slowdown", (double) plan.slowdown());
         notes.put("requests", figures.grown(Totals::requests));
         notes.put("answers", figures.grown(Totals::answers));
         notes.put("refusals", figures.grown(Totals::refusals));
