Scale run: real balancers beside the hollow ones, a relay for delays and cuts, faults by script

Real ones are started by the run line and watched over by a guard that ends them where the tool is killed. Zones are asked from half to one and a half times the mean, so that control and serving of a real process can be told apart.

--- a/scale/src/main/java/baymoor/scale/hollow/Assignment.java
+++ b/scale/src/main/java/baymoor/scale/hollow/Assignment.java
@@ -34,15 +34,18 @@
     public record Ways(
             List<Long> sameSite, List<Long> sameZone, List<Long> sameRegion, List<Long> betweenRegions, double loss) {}
 
-    /** What is drawn in place of clients and hosts. */
+    /**
+     * What is drawn in place of clients and hosts.
+     *
+     * @param requestsPerSecond at each balancer, by zone
+     */
     public record Drawn(
-            double requestsPerSecond,
+            List<Double> requestsPerSecond,
             int keys,
             double exponent,
             int valueBytes,
             List<Long> routerMicros,
             double miss,
-            double originCapacity,
             List<Long> originMicros,
             List<RequestKind> kinds,
             String tenant) {}
--- a/scale/src/main/java/baymoor/scale/hollow/DrawnHost.java
+++ b/scale/src/main/java/baymoor/scale/hollow/DrawnHost.java
@@ -3,6 +3,8 @@
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
 import baymoor.resp.RespWriter;
+import baymoor.scale.loop.DecisionLoop;
+import baymoor.scale.loop.Work;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 
--- a/scale/src/main/java/baymoor/scale/hollow/DrawnWorld.java
+++ b/scale/src/main/java/baymoor/scale/hollow/DrawnWorld.java
@@ -17,6 +17,7 @@
     private static final double SLOWEST = 20;
 
     private final Assignment.Drawn drawn;
+    private final double requestsPerSecond;
     private final SplittableRandom random;
     private final double[] cumulative;
     private final Map<InetSocketAddress, Long> asked = new HashMap<>();
@@ -27,8 +28,9 @@
     private long refusals;
 
     /** @param cumulative chance of the keys up to each, as {@link #popularity} gives it */
-    DrawnWorld(Assignment.Drawn drawn, long seed, double[] cumulative) {
+    DrawnWorld(Assignment.Drawn drawn, int zone, long seed, double[] cumulative) {
         this.drawn = drawn;
+        requestsPerSecond = drawn.requestsPerSecond().get(zone);
         this.cumulative = cumulative;
         random = new SplittableRandom(seed);
     }
@@ -54,11 +56,11 @@
 
     /** Time until the next request. */
     long nextRequestMicros() {
-        return (long) Math.ceil(-Math.log(1 - random.nextDouble()) / drawn.requestsPerSecond() * 1e6);
+        return (long) Math.ceil(-Math.log(1 - random.nextDouble()) / requestsPerSecond * 1e6);
     }
 
     boolean asks() {
-        return drawn.requestsPerSecond() > 0;
+        return requestsPerSecond > 0;
     }
 
     Assignment.RequestKind nextKind() {
--- a/scale/src/main/java/baymoor/scale/hollow/HollowProcess.java
+++ b/scale/src/main/java/baymoor/scale/hollow/HollowProcess.java
@@ -1,6 +1,9 @@
 package baymoor.scale.hollow;
 
 import baymoor.link.Address;
+import baymoor.scale.loop.DecisionLoop;
+import baymoor.scale.loop.RunClock;
+import baymoor.scale.loop.Work;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.sun.management.OperatingSystemMXBean;
 import java.io.BufferedReader;
@@ -43,11 +46,14 @@
         private final List<HollowBalancer> balancers = new ArrayList<>();
         private final Histogram ages = new Histogram(LONGEST_AGE_MICROS, 2);
         private final Histogram realAges = new Histogram(LONGEST_AGE_MICROS, 2);
+        private final boolean[] absent;
         private boolean sampling;
 
-        Group(DecisionLoop loop, PlaceNetwork network) {
+        /** @param balancers of the whole tier */
+        Group(DecisionLoop loop, PlaceNetwork network, int balancers) {
             this.loop = loop;
             this.network = network;
+            absent = new boolean[balancers];
         }
 
         /** Looks how old what each balancer knows of each other one is. */
@@ -55,15 +61,17 @@
             long now = loop.clock().micros();
             for (HollowBalancer balancer : balancers) {
                 Traffic traffic = balancer.traffic();
-                note(ages, traffic.heardMicros, now);
-                note(realAges, traffic.toRealMicros, now);
+                if (!absent[balancer.number()]) {
+                    note(ages, traffic.heardMicros, now);
+                    note(realAges, traffic.toRealMicros, now);
+                }
             }
         }
 
-        private static void note(Histogram histogram, long[] times, long now) {
-            for (long time : times) {
-                if (time != 0) {
-                    histogram.recordValue(Math.min(LONGEST_AGE_MICROS, Math.max(0, now - time)));
+        private void note(Histogram histogram, long[] times, long now) {
+            for (int other = 0; other < times.length; other++) {
+                if (times[other] != 0 && !absent[other]) {
+                    histogram.recordValue(Math.min(LONGEST_AGE_MICROS, Math.max(0, now - times[other])));
                 }
             }
         }
@@ -92,14 +100,19 @@
             if (group == null || group.balancers.size() >= assignment.perLoop()) {
                 group = new Group(
                         new DecisionLoop("decisions-" + groups.size(), clock, log),
-                        new PlaceNetwork(assignment, assignment.seed() * 31 + number));
+                        new PlaceNetwork(assignment, assignment.seed() * 31 + number),
+                        assignment.balancers());
                 groups.add(group);
             }
             group.balancers.add(new HollowBalancer(
                     number,
                     group.loop,
                     new HollowBalancer.Surroundings(assignment, clock, group.network, addresses, numbers, log),
-                    new DrawnWorld(assignment.drawn(), assignment.seed() * 1_000_003 + number, popularity)));
+                    new DrawnWorld(
+                            assignment.drawn(),
+                            assignment.zones().get(number),
+                            assignment.seed() * 1_000_003 + number,
+                            popularity)));
         }
     }
 
@@ -138,12 +151,14 @@
             case CUT -> eachGroup(group -> group.network.cut(command.from(), command.to(), command.on()));
             case LOSE -> eachGroup(group -> group.network.lose(command.value()));
             case ORIGIN_LOAD -> eachBalancer(balancer -> balancer.world().originLoad(command.value()));
-            case KILL -> some(command.numbers(), HollowBalancer::kill);
-            case REVIVE ->
-                some(command.numbers(), balancer -> {
-                    balancer.start();
-                    balancer.ask();
-                });
+            case KILL -> {
+                mark(command.numbers(), true);
+                some(command.numbers(), HollowBalancer::kill);
+            }
+            case REVIVE -> {
+                mark(command.numbers(), false);
+                some(command.numbers(), HollowProcess::revive);
+            }
             default -> throw new IllegalStateException("not an order to carry out: " + command.order());
         }
     }
@@ -160,6 +175,16 @@
         }
     }
 
+    private static void revive(HollowBalancer balancer) {
+        balancer.start();
+        balancer.ask();
+    }
+
+    /** Ages of what is known of balancers that don't run tell nothing. */
+    private void mark(List<Integer> numbers, boolean absent) {
+        eachGroup(group -> numbers.forEach(number -> group.absent[number] = absent));
+    }
+
     private void some(List<Integer> numbers, Consumer<HollowBalancer> task) {
         eachBalancer(balancer -> {
             if (numbers.contains(balancer.number())) {
--- a/scale/src/main/java/baymoor/scale/hollow/Totals.java
+++ b/scale/src/main/java/baymoor/scale/hollow/Totals.java
@@ -1,5 +1,6 @@
 package baymoor.scale.hollow;
 
+import baymoor.scale.loop.Work;
 import java.util.List;
 import java.util.Map;
 
--- a/scale/src/main/java/baymoor/scale/hollow/DecisionLoop.java
+++ b/scale/src/main/java/baymoor/scale/loop/DecisionLoop.java
@@ -1,4 +1,4 @@
-package baymoor.scale.hollow;
+package baymoor.scale.loop;
 
 import baymoor.link.Time;
 import java.io.IOException;
@@ -15,10 +15,10 @@
  * One thread that owns all state of some balancers: their sockets, timers and state machines. Each event counts as one kind of
  * {@link Work}; a timer is of the kind of the event that set it.
  */
-final class DecisionLoop implements Time, Runnable {
+public final class DecisionLoop implements Time, Runnable {
 
     /** What a socket does when its selector says that it can. */
-    interface Ready {
+    public interface Ready {
         void ready(SelectionKey key) throws IOException;
     }
 
@@ -44,7 +44,7 @@
     private Work work = Work.CONTROL;
     private volatile boolean stopped;
 
-    DecisionLoop(String name, RunClock clock, Consumer<String> log) throws IOException {
+    public DecisionLoop(String name, RunClock clock, Consumer<String> log) throws IOException {
         this.clock = clock;
         startMicros = clock.micros();
         selector = Selector.open();
@@ -78,29 +78,25 @@
         }
     }
 
-    void start() {
+    public void start() {
         thread.start();
     }
 
-    long threadId() {
-        return thread.getId();
-    }
-
     Selector selector() {
         return selector;
     }
 
     /** Hands a task to this thread, from any thread. */
-    void post(Runnable task) {
+    public void post(Runnable task) {
         posted.add(task);
         selector.wakeup();
     }
 
-    RunClock clock() {
+    public RunClock clock() {
         return clock;
     }
 
-    void stop() {
+    public void stop() {
         stopped = true;
         selector.wakeup();
     }
@@ -111,7 +107,7 @@
     }
 
     /** What the clock shows now. */
-    long read() {
+    public long read() {
         return ORIGIN_MICROS + clock.micros() - startMicros;
     }
 
@@ -121,19 +117,19 @@
     }
 
     /** Runs a task after a delay as work of a kind. */
-    Timer after(long micros, Work kind, Runnable task) {
+    public Timer after(long micros, Work kind, Runnable task) {
         Due due = new Due(micros <= 0 ? 0 : now + micros, sequence++, kind, task);
         timers.add(due);
         return due;
     }
 
     /** The kind of work of the present event. */
-    Work work() {
+    public Work work() {
         return work;
     }
 
     /** Does something within the present event as work of another kind. */
-    void as(Work kind, Runnable task) {
+    public void as(Work kind, Runnable task) {
         Work before = work;
         long began = System.nanoTime();
         work = kind;
@@ -148,17 +144,17 @@
     }
 
     /** Nanoseconds spent on each kind of work so far. On this thread. */
-    long[] spentNanos() {
+    public long[] spentNanos() {
         return Arrays.copyOf(nanos, nanos.length);
     }
 
     /** Forgets how late timers were so far. On this thread. */
-    void resetLateness() {
+    public void resetLateness() {
         lateness.reset();
     }
 
     /** How much later than due timers ran. On this thread. */
-    Histogram lateness() {
+    public Histogram lateness() {
         return lateness.copy();
     }
 
--- a/scale/src/main/java/baymoor/scale/hollow/PeerSocket.java
+++ b/scale/src/main/java/baymoor/scale/loop/PeerSocket.java
@@ -1,4 +1,4 @@
-package baymoor.scale.hollow;
+package baymoor.scale.loop;
 
 import baymoor.peers.PeerLink;
 import java.io.IOException;
@@ -10,7 +10,7 @@
 import java.util.function.BiConsumer;
 
 /** The socket on which one balancer hears the others and tells them. */
-final class PeerSocket implements PeerLink, DecisionLoop.Ready {
+public final class PeerSocket implements PeerLink, DecisionLoop.Ready {
 
     private static final int LONGEST_DATAGRAM = 2048;
     /** All others may tell at once; the kernel counts some 800 bytes for each of their datagrams. */
@@ -24,7 +24,7 @@
     private final ByteBuffer sending = ByteBuffer.allocateDirect(LONGEST_DATAGRAM);
     private long unsent;
 
-    PeerSocket(DecisionLoop loop, InetSocketAddress address, BiConsumer<InetSocketAddress, byte[]> received)
+    public PeerSocket(DecisionLoop loop, InetSocketAddress address, BiConsumer<InetSocketAddress, byte[]> received)
             throws IOException {
         this.received = received;
         channel = DatagramChannel.open();
@@ -35,7 +35,7 @@
     }
 
     /** Datagrams that the kernel refused to take. */
-    long unsent() {
+    public long unsent() {
         return unsent;
     }
 
@@ -66,7 +66,7 @@
         }
     }
 
-    void close() {
+    public void close() {
         try {
             channel.close();
         } catch (IOException e) {
--- a/scale/src/main/java/baymoor/scale/hollow/RunClock.java
+++ b/scale/src/main/java/baymoor/scale/loop/RunClock.java
@@ -1,4 +1,4 @@
-package baymoor.scale.hollow;
+package baymoor.scale.loop;
 
 /**
  * The clock of all processes of a run. It may go slower than the machine's, so that a machine can carry more balancers than it
--- a/scale/src/main/java/baymoor/scale/hollow/StreamLink.java
+++ b/scale/src/main/java/baymoor/scale/loop/StreamLink.java
@@ -1,4 +1,4 @@
-package baymoor.scale.hollow;
+package baymoor.scale.loop;
 
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
@@ -10,10 +10,10 @@
 import java.util.ArrayDeque;
 
 /** A connection over TCP on a decision loop's selector, as a balancer's state machines see it: to discovery. */
-final class StreamLink implements Link, DecisionLoop.Ready {
+public final class StreamLink implements Link, DecisionLoop.Ready {
 
     /** Hears how many bytes went over a connection. */
-    interface Meter {
+    public interface Meter {
         void received(int bytes);
 
         void sent(int bytes);
@@ -39,7 +39,7 @@
     }
 
     /** Opens a connection; one that fails is told as closed. */
-    static StreamLink dial(DecisionLoop loop, InetSocketAddress to, LinkEvents events, Meter meter) {
+    public static StreamLink dial(DecisionLoop loop, InetSocketAddress to, LinkEvents events, Meter meter) {
         StreamLink link = new StreamLink(loop, events, meter);
         try {
             link.channel = SocketChannel.open();
--- a/scale/src/main/java/baymoor/scale/hollow/Work.java
+++ b/scale/src/main/java/baymoor/scale/loop/Work.java
@@ -1,7 +1,7 @@
-package baymoor.scale.hollow;
+package baymoor.scale.loop;
 
 /** What a decision thread spends its time on. */
-enum Work {
+public enum Work {
     /** Lists, other balancers' datagrams, the ticks of the decision module: what grows with the tier. */
     CONTROL,
     /** Requests of clients, and answers of hosts. */
--- a/scale/src/main/java/baymoor/scale/plan/Places.java
+++ b/scale/src/main/java/baymoor/scale/plan/Places.java
@@ -12,6 +12,8 @@
  */
 public record Places(List<String> regions, List<Zone> zones) {
 
+    private static final double LEAST_WEIGHT = 0.5;
+
     /** @param sites of the zone, at least one */
     public record Zone(String name, int region, int sites) {}
 
@@ -48,6 +50,14 @@
         return zones.stream().map(Zone::name).toList();
     }
 
+    /**
+     * What the balancers of a zone are asked, against the mean of all: from half to one and a half times that, so that what a
+     * request costs shows between them.
+     */
+    public double weightOf(int zone) {
+        return zones.size() == 1 ? 1 : LEAST_WEIGHT + (double) zone / (zones.size() - 1);
+    }
+
     /** The zones of a region. */
     public List<Integer> zonesOfRegion(int region) {
         List<Integer> found = new ArrayList<>();
--- a/scale/src/main/java/baymoor/scale/run/Figures.java
+++ b/scale/src/main/java/baymoor/scale/run/Figures.java
@@ -62,13 +62,39 @@
     }
 
     /** The mean of a percentile over the processes, which have as many balancers each but for the last. */
-    private double mean(ToDoubleFunction<Totals> field) {
+    double mean(ToDoubleFunction<Totals> field) {
         return after.stream()
                         .mapToDouble(t -> field.applyAsDouble(t) * t.balancers())
                         .sum()
                 / balancers;
     }
 
+    boolean hasBalancers() {
+        return balancers > 0;
+    }
+
+    /** Processor seconds that serving a request costs. */
+    double servingPerRequest() {
+        double requests = rate(Totals::requests);
+        return requests == 0 ? 0 : cpu(Totals::servingNanos) / requests;
+    }
+
+    /** Bytes of the mean datagram that hollow balancers send. */
+    double meanMessageBytes() {
+        return grown(Totals::bytesOut) / Math.max(1, grown(Totals::messagesOut));
+    }
+
+    /** Bytes of the mean datagram of a real balancer, as the hollow ones heard it. */
+    double meanRealMessageBytes(int real) {
+        double bytes = grown(totals -> totals.realBytes().get(real));
+        return bytes / Math.max(1, grown(totals -> totals.realMessages().get(real)));
+    }
+
+    /** Bytes a second of the headers on the way from discovery, or back. */
+    double discoveryHeaderBytes() {
+        return hasBalancers() ? rate(Totals::discoveryReads) * SEGMENT_HEADER_BYTES : 0;
+    }
+
     double latenessP99Millis() {
         return most(Totals::latenessP99Millis);
     }
@@ -82,15 +108,12 @@
     Map<String, Double> hollow() {
         Map<String, Double> figures = new LinkedHashMap<>();
         double discovery = rate(Totals::discoveryBytesIn);
-        double reads = rate(Totals::discoveryReads);
         figures.put("bytesInPerSecond", rate(Totals::bytesIn) + discovery);
         figures.put("bytesOutPerSecond", rate(Totals::bytesOut) + rate(Totals::discoveryBytesOut));
         figures.put(
-                "headerBytesInPerSecond",
-                rate(Totals::messagesIn) * DATAGRAM_HEADER_BYTES + reads * SEGMENT_HEADER_BYTES);
+                "headerBytesInPerSecond", rate(Totals::messagesIn) * DATAGRAM_HEADER_BYTES + discoveryHeaderBytes());
         figures.put(
-                "headerBytesOutPerSecond",
-                rate(Totals::messagesOut) * DATAGRAM_HEADER_BYTES + reads * SEGMENT_HEADER_BYTES);
+                "headerBytesOutPerSecond", rate(Totals::messagesOut) * DATAGRAM_HEADER_BYTES + discoveryHeaderBytes());
         figures.put("messagesInPerSecond", rate(Totals::messagesIn));
         figures.put("messagesOutPerSecond", rate(Totals::messagesOut));
         figures.put("discoveryBytesInPerSecond", discovery);
--- a/scale/src/main/java/baymoor/scale/run/HollowFleet.java
+++ b/scale/src/main/java/baymoor/scale/run/HollowFleet.java
@@ -106,17 +106,6 @@
         }
     }
 
-    /** Gives an order about some balancers to the processes that have them. */
-    void order(Command.Order order, List<Integer> numbers) throws IOException {
-        for (Child child : children) {
-            List<Integer> there =
-                    numbers.stream().filter(child.numbers::contains).toList();
-            if (!there.isEmpty()) {
-                child.order(Command.on(order, there));
-            }
-        }
-    }
-
     /** The sum of what all told last; the version is the lowest. */
     Status status() {
         int running = 0;
--- a/scale/src/main/java/baymoor/scale/run/ScalePlatform.java
+++ b/scale/src/main/java/baymoor/scale/run/ScalePlatform.java
@@ -6,12 +6,14 @@
 import baymoor.emulator.world.Acceptor;
 import baymoor.emulator.world.Platform;
 import baymoor.link.Dialer;
+import baymoor.link.Link;
 import baymoor.link.Time;
 import baymoor.net.MinaNet;
 import baymoor.scale.plan.ScalePlan;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicLongArray;
 
 /** Carries the emulator's world for a scale run: discovery listens for every balancer, all other hosts for the real ones. */
 final class ScalePlatform implements Platform {
@@ -25,6 +27,7 @@
     private final Fabric fabric;
     private final int discoveryPlace;
     private final long unixApart;
+    private final AtomicLongArray discoverySent;
 
     /** @param streams from which the fabric's chance comes */
     ScalePlatform(Time time, MinaNet net, ScalePlan plan, Scenario scenario, Addresses addresses, Streams streams) {
@@ -33,6 +36,7 @@
         this.plan = plan;
         this.addresses = addresses;
         fabric = new Fabric(scenario.net(), plan.places().zones().size(), time, streams.of("fabric"));
+        discoverySent = new AtomicLongArray(plan.balancers().count());
         discoveryPlace = plan.routers().count() + 1;
         unixApart = System.currentTimeMillis() - time.now() / 1000;
     }
@@ -62,12 +66,24 @@
         try {
             net.listen(
                     address(place, balancer),
-                    link -> fabric.between(link, near, zone, wire -> acceptor.accept(wire, balancer)));
+                    link -> fabric.between(
+                            counted(link, place, balancer), near, zone, wire -> acceptor.accept(wire, balancer)));
         } catch (IOException e) {
             throw new UncheckedIOException(host + " can't listen at " + address(place, balancer), e);
         }
     }
 
+    private Link counted(Link link, int place, int balancer) {
+        return place == discoveryPlace
+                ? new CountedLink(link, bytes -> discoverySent.addAndGet(balancer, bytes))
+                : link;
+    }
+
+    /** Bytes that discovery has sent to a balancer so far. */
+    long discoverySent(int balancer) {
+        return discoverySent.get(balancer);
+    }
+
     @Override
     public void stopListening(int place, boolean silently) {
         int listeners = place == discoveryPlace
--- a/scale/src/main/java/baymoor/scale/run/ScaleRun.java
+++ b/scale/src/main/java/baymoor/scale/run/ScaleRun.java
@@ -5,27 +5,24 @@
 import baymoor.emulator.judge.Judge;
 import baymoor.emulator.report.Tally;
 import baymoor.emulator.scenario.Scenario;
-import baymoor.emulator.world.BalancerConfig;
-import baymoor.emulator.world.Fleet;
 import baymoor.emulator.world.World;
 import baymoor.link.Time;
 import baymoor.net.DecisionThread;
 import baymoor.net.MinaNet;
-import baymoor.scale.hollow.Assignment;
 import baymoor.scale.hollow.Command;
-import baymoor.scale.hollow.RunClock;
+import baymoor.scale.hollow.PlaceNetwork;
 import baymoor.scale.hollow.Status;
 import baymoor.scale.hollow.Totals;
-import baymoor.scale.plan.Places;
+import baymoor.scale.loop.RunClock;
 import baymoor.scale.plan.ScalePlan;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import baymoor.scale.real.RealFleet;
+import baymoor.scale.real.RealSample;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.file.Files;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,7 +31,6 @@
 import java.util.concurrent.FutureTask;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
-import org.apache.commons.rng.UniformRandomProvider;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -42,9 +38,7 @@
 public final class ScaleRun {
 
     private static final Logger LOG = LoggerFactory.getLogger(ScaleRun.class);
-    private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MOST_PER_PROCESS = 80;
-    private static final int PER_LOOP = 40;
     private static final int MEGABYTES_EACH = 5;
     private static final long STEP_MILLIS = 250;
     private static final long START_SECONDS = 90;
@@ -75,11 +69,14 @@
     private final HollowFleet hollow = new HollowFleet();
     private final OriginWatch origin;
     private final ListChanges changes = new ListChanges();
-    private final List<String> reasons = new ArrayList<>();
+    private final List<String> reasons = Collections.synchronizedList(new ArrayList<>());
     private final Scenario tier;
     private final ScalePlatform platform;
     private final World world;
-    private final UniformRandomProvider seeds;
+    private final Configurations configurations;
+    private final RealFleet real;
+    private DatagramRelay relay;
+    private boolean closed;
 
     private ScaleRun(ScalePlan plan, Options options) throws IOException {
         this.plan = plan;
@@ -95,33 +92,78 @@
                 / plan.balancers().count());
         Streams streams = new Streams(plan.seed());
         tier = Scenarios.tier(plan);
-        Scenario real = Scenarios.real(plan);
-        platform = new ScalePlatform(time, net, plan, real, addresses, streams);
-        Judge judge = new Judge(time::now, real.figures(), platform.slackMicros(), broken -> {});
+        Scenario faced = Scenarios.real(plan);
+        platform = new ScalePlatform(time, net, plan, faced, addresses, streams);
+        Judge judge = new Judge(time::now, faced.figures(), platform.slackMicros(), broken -> {});
         world = new World(
-                real,
+                faced,
                 platform,
                 streams,
                 judge,
                 new Tally(),
                 (what, whom) -> LOG.atDebug().addKeyValue("whom", whom).log(what));
-        seeds = streams.of("balancers");
+        configurations = new Configurations(
+                plan,
+                tier,
+                platform,
+                world,
+                addresses,
+                Script.needsRelay(plan),
+                streams.of("balancers"),
+                options.folder());
+        real = new RealFleet(
+                plan.balancers().real(),
+                new RealRun(),
+                new RealFleet.Program(options.command(), options.home(), options.folder()),
+                thread,
+                time,
+                net,
+                judge,
+                world.clients(),
+                reasons::add);
     }
 
-    /** Plays it and ends everything that it started, whatever happens. */
+    /** Plays it and ends everything that it started, whatever happens, also where this program is interrupted. */
     public static ScaleResult play(ScalePlan plan, String file, Options options)
             throws IOException, InterruptedException {
         ScaleRun run = new ScaleRun(plan, options);
+        Thread hook = new Thread(run::closeQuietly, "end-of-scale-run");
+        Runtime.getRuntime().addShutdownHook(hook);
         try {
             return run.play(file);
         } finally {
             run.close();
+            removeHook(hook);
+        }
+    }
+
+    private static void removeHook(Thread hook) {
+        try {
+            Runtime.getRuntime().removeShutdownHook(hook);
+        } catch (IllegalStateException e) {
+            // The program ends already, and the hook does what is left to do.
         }
     }
 
-    private void close() throws InterruptedException {
+    private void closeQuietly() {
+        try {
+            close();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized void close() throws InterruptedException {
+        if (closed) {
+            return;
+        }
+        closed = true;
         machine.stop();
         hollow.close();
+        real.close();
+        if (relay != null) {
+            relay.close();
+        }
         thread.stop();
         net.close();
     }
@@ -129,20 +171,46 @@
     private ScaleResult play(String file) throws IOException, InterruptedException {
         new Thread(thread, "world").start();
         options.progress().accept("opening " + plan.balancers().count() + " balancers' addresses");
+        Assignments assignments = new Assignments(plan, tier, configurations, options.folder());
+        if (Script.needsRelay(plan)) {
+            PlaceNetwork network = new PlaceNetwork(assignments.of(List.of()), plan.seed());
+            relay = new DatagramRelay(
+                    addresses, plan.balancers().count(), plan.balancers().real(), network, reasons::add);
+        }
         onThread(() -> {
-            world.open(new NoFleet());
-            for (int balancer = 0; balancer < plan.balancers().count(); balancer++) {
-                world.starts(balancer);
-                write(balancer);
+            world.open(real);
+            for (int balancer = plan.balancers().real();
+                    balancer < plan.balancers().count();
+                    balancer++) {
+                configurations.write(balancer);
             }
             watchVersion();
+            real.startAll();
             return null;
         });
-        startHollow();
+        startHollow(assignments);
         awaitReady();
         return measure(file);
     }
 
+    /** What the fleet of real balancers is told of this run. */
+    private final class RealRun implements RealFleet.Run {
+        @Override
+        public Path configure(int balancer) throws IOException {
+            return configurations.write(balancer);
+        }
+
+        @Override
+        public InetSocketAddress clients(int balancer) {
+            return addresses.clients(balancer);
+        }
+
+        @Override
+        public long discoverySent(int balancer) {
+            return platform.discoverySent(balancer);
+        }
+    }
+
     /** Discovery's version is looked at often enough to say when it changed. */
     private void watchVersion() {
         changes.shown(world.index(0), clock.micros());
@@ -160,26 +228,14 @@
         }
     }
 
-    /** Writes the configuration of a balancer as it should start now. */
-    private void write(int balancer) throws IOException {
-        String text = BalancerConfig.json(tier, platform, world, balancer, seeds.nextLong());
-        ObjectNode config = (ObjectNode) JSON.readTree(text);
-        ArrayNode peers = config.putArray("peers");
-        for (int other = 0; other < plan.balancers().count(); other++) {
-            peers.add(Addresses.text(addresses.peers(other)));
-        }
-        Files.writeString(options.folder().resolve("n" + balancer + ".json"), config + "\n");
-    }
-
-    private void startHollow() throws IOException {
-        int real = plan.balancers().real();
+    private void startHollow(Assignments assignments) throws IOException {
         int count = plan.balancers().count();
-        for (int first = real; first < count; first += MOST_PER_PROCESS) {
+        for (int first = plan.balancers().real(); first < count; first += MOST_PER_PROCESS) {
             List<Integer> numbers = IntStream.range(first, Math.min(count, first + MOST_PER_PROCESS))
                     .boxed()
                     .toList();
             hollow.start(
-                    assignment(numbers),
+                    assignments.of(numbers),
                     options.folder().resolve("hollow-" + first + ".json"),
                     options.folder().resolve("hollow-" + first + ".log"),
                     MEGABYTES_EACH);
@@ -188,76 +244,23 @@
         hollow.order(Command.of(Command.Order.START));
     }
 
-    private Assignment assignment(List<Integer> numbers) {
-        Places places = plan.places();
-        int count = plan.balancers().count();
-        ScalePlan.Network ways = plan.network();
-        return new Assignment(
-                options.folder().toString(),
-                plan.seed(),
-                plan.slowdown(),
-                numbers,
-                count,
-                plan.balancers().real(),
-                IntStream.range(0, count)
-                        .mapToObj(balancer -> Addresses.text(addresses.peers(balancer)))
-                        .toList(),
-                PER_LOOP,
-                IntStream.range(0, count).mapToObj(places::zoneOf).toList(),
-                IntStream.range(0, count).mapToObj(places::siteOf).toList(),
-                places.zones().stream().map(Places.Zone::region).toList(),
-                new Assignment.Ways(
-                        List.of(ways.sameSite().least(), ways.sameSite().most()),
-                        List.of(ways.sameZone().least(), ways.sameZone().most()),
-                        List.of(ways.sameRegion().least(), ways.sameRegion().most()),
-                        List.of(
-                                ways.betweenRegions().least(),
-                                ways.betweenRegions().most()),
-                        ways.loss()),
-                drawn());
-    }
-
-    private Assignment.Drawn drawn() {
-        ScalePlan.Traffic traffic = plan.traffic();
-        return new Assignment.Drawn(
-                traffic.perBalancer(),
-                traffic.keys(),
-                traffic.exponent(),
-                traffic.valueBytes(),
-                List.of(
-                        plan.routers().latency().least(),
-                        plan.routers().latency().most()),
-                plan.routers().miss(),
-                plan.origin().capacity(),
-                List.of(plan.origin().latency().least(), plan.origin().latency().most()),
-                tier.classes().stream()
-                        .map(kind -> new Assignment.RequestKind(
-                                kind.name(),
-                                kind.share(),
-                                kind.write(),
-                                kind.giveUpMicros(),
-                                kind.work().middle()))
-                        .toList(),
-                tier.tenants().get(0).name());
-    }
-
-    /** Waits until each hollow balancer was told a list and has heard all others. */
+    /** Waits until all real balancers answer, and each hollow one was told a list and has heard all others. */
     private void awaitReady() throws IOException, InterruptedException {
+        int count = plan.balancers().hollow();
+        boolean alone = plan.balancers().count() == 1;
         long until = clock.micros() + START_SECONDS * MICROS;
         while (true) {
             Status status = hollow.status();
-            int count = plan.balancers().hollow();
-            if (status.listed() == count
-                    && (status.heardAll() == count || plan.balancers().count() == 1)) {
+            boolean heard = status.heardAll() == count || alone;
+            if (status.listed() == count && heard && real.upCount() == real.count()) {
                 return;
             }
-            if (hollow.anyEnded()) {
-                throw new IOException("a process of hollow balancers ended; see the logs in " + options.folder());
-            }
+            checkAlive();
             if (clock.micros() > until) {
                 reasons.add(String.format(
-                        "after %d s %d of %d balancers had a list and %d had heard all others",
-                        START_SECONDS, status.listed(), count, status.heardAll()));
+                        "after %d s %d of %d hollow balancers had a list, %d had heard all others, and %d of %d real "
+                                + "ones answered",
+                        START_SECONDS, status.listed(), count, status.heardAll(), real.upCount(), real.count()));
                 return;
             }
             options.progress()
@@ -267,30 +270,42 @@
         }
     }
 
+    private void checkAlive() throws IOException {
+        if (hollow.anyEnded()) {
+            throw new IOException("a process of hollow balancers ended; see the logs in " + options.folder());
+        }
+    }
+
     private ScaleResult measure(String file) throws IOException, InterruptedException {
         options.progress().accept("warming up");
         hollow.order(Command.of(Command.Order.ASK));
+        Script script = new Script(plan, time, platform, configurations, hollow, real, relay, reasons::add);
         onThread(() -> {
             world.begin();
+            script.begin();
             return null;
         });
         pass(plan.warmUpMicros());
         hollow.order(Command.of(Command.Order.RESET));
         machine.start();
-        machine.reset();
         origin.reset();
         long droppedBefore = machine.drops();
         List<Totals> before = hollow.sample(false);
+        List<RealSample> realBefore = real.sample();
         long from = clock.micros();
         options.progress().accept("measuring");
         pass(plan.durationMicros());
         List<Totals> after = hollow.sample(false);
-        long dropped = machine.drops() - droppedBefore;
-        double lateness = machine.latenessP99Millis();
+        List<RealSample> realAfter = real.sample();
+        Machine state = new Machine(machine.latenessP99Millis(), machine.drops() - droppedBefore);
         settle();
-        return result(file, new Figures(before, after, hollow.sample(true)), from, dropped, lateness);
+        Figures figures = new Figures(before, after, hollow.sample(true));
+        return result(file, figures, new RealFigures(realBefore, realAfter, figures), from, state);
     }
 
+    /** How the machine stood the run. */
+    private record Machine(double lateMillis, long dropped) {}
+
     /** Waits a while until the last change is known everywhere. */
     private void settle() throws IOException, InterruptedException {
         long version = onThread(() -> world.index(0));
@@ -307,30 +322,31 @@
             Thread.sleep(Math.max(1, Math.min(STEP_MILLIS, clock.real(left) / 1000)));
             double load = origin.read(clock.micros() / 1e6, hollow.status().fetches());
             hollow.order(Command.value(Command.Order.ORIGIN_LOAD, load));
-            if (hollow.anyEnded()) {
-                throw new IOException("a process of hollow balancers ended; see the logs in " + options.folder());
-            }
+            checkAlive();
         }
     }
 
-    private ScaleResult result(String file, Figures figures, long from, long dropped, double late)
+    private ScaleResult result(String file, Figures figures, RealFigures realFigures, long from, Machine state)
             throws IOException, InterruptedException {
-        double lateness = Math.max(late / clock.slowdown(), figures.latenessP99Millis());
+        double lateness = Math.max(state.lateMillis() / clock.slowdown(), figures.latenessP99Millis());
         double datagrams = figures.grown(Totals::messagesOut);
         if (lateness > MOST_LATENESS_MILLIS) {
             reasons.add(String.format("the machine was the limit: threads ran %.0f ms late (p99)", lateness));
         }
-        if (dropped > datagrams * MOST_DROPPED) {
-            reasons.add("the machine was the limit: the kernel dropped " + dropped + " datagrams");
+        if (state.dropped() > datagrams * MOST_DROPPED) {
+            reasons.add("the machine was the limit: the kernel dropped " + state.dropped() + " datagrams");
         }
         long failures = (long) figures.grown(Totals::failures);
         if (failures > 0) {
             reasons.add(failures + " tasks or decisions failed");
         }
-        Map<String, Double> mean = figures.hollow();
-        mean.put("overIssue", origin.overIssue());
-        mean.put("use", origin.use());
-        mean.put("loadSpread", figures.loadSpread(plan.routers().count()));
+        Map<String, Double> mean = new LinkedHashMap<>();
+        if (figures.hasBalancers()) {
+            mean.putAll(figures.hollow());
+            mean.put("overIssue", origin.overIssue());
+            mean.put("use", origin.use());
+            mean.put("loadSpread", figures.loadSpread(plan.routers().count()));
+        }
         long until = from + plan.durationMicros();
         List<Map<String, Double>> changed =
                 onThread(() -> changes.changes(
@@ -343,10 +359,10 @@
                 plan.seed(),
                 reasons.isEmpty(),
                 List.copyOf(reasons),
-                new ScaleResult.Machine(Runtime.getRuntime().availableProcessors(), lateness, dropped),
-                size(figures, changed.size()),
+                new ScaleResult.Machine(Runtime.getRuntime().availableProcessors(), lateness, state.dropped()),
+                size(figures, realFigures, changed.size()),
                 mean,
-                List.of(),
+                realFigures.each(),
                 changed,
                 notes(figures));
     }
@@ -360,8 +376,8 @@
         return fields;
     }
 
-    private ScaleResult.Size size(Figures figures, int changed) {
-        double requests = figures.grown(Totals::requests) / figures.seconds();
+    private ScaleResult.Size size(Figures figures, RealFigures realFigures, int changed) {
+        double requests = figures.grown(Totals::requests) / figures.seconds() + realFigures.requestsPerSecond();
         return new ScaleResult.Size(
                 plan.balancers().count(),
                 plan.balancers().hollow(),
@@ -386,26 +402,4 @@
         notes.put("unsentDatagrams", figures.grown(Totals::unsent));
         return notes;
     }
-
-    /** No real balancers: nobody is up. */
-    private static final class NoFleet implements Fleet {
-        @Override
-        public int count() {
-            return 0;
-        }
-
-        @Override
-        public boolean up(int balancer) {
-            return false;
-        }
-
-        @Override
-        public void restart(int balancer, boolean planned) {}
-
-        @Override
-        public void kill(int balancer, long forMicros, boolean silently) {}
-
-        @Override
-        public void stall(int balancer, long forMicros) {}
-    }
 }
--- a/scale/src/main/java/baymoor/scale/run/Scenarios.java
+++ b/scale/src/main/java/baymoor/scale/run/Scenarios.java
@@ -3,9 +3,11 @@
 import baymoor.emulator.scenario.Scenario;
 import baymoor.emulator.scenario.ScenarioReader;
 import baymoor.emulator.scenario.Span;
+import baymoor.scale.plan.Places;
 import baymoor.scale.plan.ScalePlan;
 import java.util.Locale;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /** A plan as the emulator's scenarios: one of the whole tier, for settings, and one of what the real balancers face. */
 final class Scenarios {
@@ -122,7 +124,7 @@
                         plan.discovery().callMicros(),
                         plan.discovery().lineMicros(),
                         rate,
-                        shares(plan.places().zones().size()))
+                        shares(plan.places()))
                 + changes(plan);
     }
 
@@ -130,14 +132,11 @@
         return "[\"" + span.least() + "us\", \"" + span.most() + "us\"]";
     }
 
-    /** From half to one and a half times the mean, so that what a request costs a real balancer shows between them. */
-    private static String shares(int zones) {
-        StringBuilder text = new StringBuilder();
-        for (int zone = 0; zone < zones; zone++) {
-            double weight = zones == 1 ? 1 : 0.5 + (double) zone / (zones - 1);
-            text.append(zone == 0 ? "" : ", ").append(String.format(Locale.ROOT, "\"%.6f%%\"", 100 * weight / zones));
-        }
-        return text.toString();
+    private static String shares(Places places) {
+        int zones = places.zones().size();
+        return IntStream.range(0, zones)
+                .mapToObj(zone -> String.format(Locale.ROOT, "\"%.6f%%\"", 100 * places.weightOf(zone) / zones))
+                .collect(Collectors.joining(", "));
     }
 
     /** Routers that drain and come back, evenly over the run, and those of the script. */
