--- a/scale/src/main/java/baymoor/scale/run/Assignments.java
+++ b/scale/src/main/java/baymoor/scale/run/Assignments.java
@@ -12,7 +12,7 @@
 /** Puts a plan into what a process of hollow balancers is told. */
 final class Assignments {
 
-    private static final int PER_LOOP = 40;
+    private static final int PER_LOOP = 10;
 
     private final ScalePlan plan;
     private final Scenario tier;
--- a/scale/src/main/java/baymoor/scale/run/Figures.java
+++ b/scale/src/main/java/baymoor/scale/run/Figures.java
@@ -55,10 +55,18 @@
         return after.stream().mapToDouble(field).max().orElse(0);
     }
 
-    /** Of the processes' time, the part of one kind of work, in seconds a second and balancer. */
-    private double cpu(ToLongFunction<Totals> kind) {
+    /**
+     * Processor time to the time that decision threads spent on their events: more, as a process does other things too, and less,
+     * as a busy machine keeps threads waiting in the midst of an event.
+     */
+    private double cpuPart() {
         double all = grown(Totals::controlNanos) + grown(Totals::servingNanos) + grown(Totals::toolNanos);
-        return all == 0 ? 0 : rate(Totals::processCpuNanos) / 1e9 * grown(kind) / all;
+        return all == 0 ? 0 : grown(Totals::processCpuNanos) / all;
+    }
+
+    /** The processor time of one kind of work, in seconds a second and balancer. */
+    private double cpu(ToLongFunction<Totals> kind) {
+        return rate(kind) / 1e9 * cpuPart();
     }
 
     /** The mean of a percentile over the processes, which have as many balancers each but for the last. */
@@ -120,7 +128,7 @@
         figures.put("cpuControlSecondsPerSecond", cpu(Totals::controlNanos));
         figures.put("cpuServingSecondsPerSecond", cpu(Totals::servingNanos));
         figures.put("memoryBytes", sum(settled, Totals::heapBytes) / balancers);
-        figures.put("tickMicros", grown(Totals::tickNanos) / 1e3 / Math.max(1, grown(Totals::ticks)));
+        figures.put("tickMicros", grown(Totals::tickNanos) / 1e3 / Math.max(1, grown(Totals::ticks)) * cpuPart());
         figures.put("ageP50Ms", mean(Totals::ageP50Millis));
         figures.put("ageP99Ms", mean(Totals::ageP99Millis));
         return figures;
