--- a/cli/src/test/java/baymoor/cli/CommandLineTest.java
+++ b/cli/src/test/java/baymoor/cli/CommandLineTest.java
@@ -39,6 +39,8 @@
             {"emulate", "serve"},
             {"emulate", "calibrate"},
             {"emulate", "bench"},
+            {"scale"},
+            {"scale", "run"},
             {"version"}
         };
         for (String[] command : commands) {
--- a/scale/src/main/java/baymoor/scale/loop/PeerSocket.java
+++ b/scale/src/main/java/baymoor/scale/loop/PeerSocket.java
@@ -22,6 +22,7 @@
     private final BiConsumer<InetSocketAddress, byte[]> received;
     private final ByteBuffer buffer = ByteBuffer.allocateDirect(LONGEST_DATAGRAM);
     private final ByteBuffer sending = ByteBuffer.allocateDirect(LONGEST_DATAGRAM);
+    private final InetSocketAddress address;
     private long unsent;
 
     public PeerSocket(DecisionLoop loop, InetSocketAddress address, BiConsumer<InetSocketAddress, byte[]> received)
@@ -31,9 +32,15 @@
         channel.setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BUFFER);
         channel.configureBlocking(false);
         channel.bind(address);
+        this.address = (InetSocketAddress) channel.getLocalAddress();
         channel.register(loop.selector(), SelectionKey.OP_READ, this);
     }
 
+    /** Where it receives and sends from. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
     /** Datagrams that the kernel refused to take. */
     public long unsent() {
         return unsent;
--- /dev/null
+++ b/scale/src/test/java/baymoor/scale/loop/DecisionLoopTest.java
@@ -0,0 +1,125 @@
+package baymoor.scale.loop;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Test;
+
+/** Events come one after another on one thread, and their time counts for the kind of work that they are. */
+public class DecisionLoopTest {
+
+    private static final long LONG_SECONDS = 20;
+    private static final long BUSY_NANOS = 5_000_000;
+
+    private final List<String> failures = new ArrayList<>();
+    private DecisionLoop loop;
+
+    @Before
+    public void start() throws IOException {
+        loop = new DecisionLoop("test", new RunClock(1), failures::add);
+        loop.start();
+    }
+
+    @After
+    public void stop() {
+        loop.stop();
+    }
+
+    private static void await(CountDownLatch latch) throws InterruptedException {
+        assertTrue(latch.await(LONG_SECONDS, TimeUnit.SECONDS));
+    }
+
+    private static void beBusy() {
+        long until = System.nanoTime() + BUSY_NANOS;
+        while (System.nanoTime() < until) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    public void whatIsDueAtOnceComesBeforeTimersAndTimersInOrder() throws InterruptedException {
+        List<Integer> order = new ArrayList<>();
+        CountDownLatch done = new CountDownLatch(1);
+        loop.post(() -> {
+            loop.after(2_000, () -> order.add(3));
+            loop.after(1_000, () -> order.add(2));
+            loop.after(0, () -> order.add(1));
+            loop.after(1_500, () -> order.add(9)).cancel();
+            loop.after(3_000, done::countDown);
+        });
+        await(done);
+        assertEquals(List.of(1, 2, 3), order);
+    }
+
+    @Test
+    public void aTimerIsOfTheKindOfTheEventThatSetIt() throws InterruptedException {
+        List<Work> kinds = new ArrayList<>();
+        CountDownLatch done = new CountDownLatch(2);
+        loop.post(() -> {
+            loop.after(0, () -> {
+                kinds.add(loop.work());
+                done.countDown();
+            });
+            loop.as(
+                    Work.SERVING,
+                    () -> loop.after(10, () -> {
+                        kinds.add(loop.work());
+                        done.countDown();
+                    }));
+        });
+        await(done);
+        assertEquals(List.of(Work.CONTROL, Work.SERVING), kinds);
+    }
+
+    @Test
+    public void timeWithinAnEventOfAnotherKindIsTakenOffThatOne() throws InterruptedException {
+        long[][] spent = new long[1][];
+        CountDownLatch done = new CountDownLatch(1);
+        loop.post(() -> loop.as(Work.SERVING, () -> loop.as(Work.TOOL, DecisionLoopTest::beBusy)));
+        loop.post(() -> {
+            spent[0] = loop.spentNanos();
+            done.countDown();
+        });
+        await(done);
+        assertTrue(spent[0][Work.TOOL.ordinal()] >= BUSY_NANOS);
+        assertTrue(spent[0][Work.SERVING.ordinal()] < BUSY_NANOS);
+        assertTrue(spent[0][Work.CONTROL.ordinal()] < BUSY_NANOS);
+    }
+
+    @Test
+    public void aTaskThatFailsEndsNothingElse() throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        loop.post(() -> {
+            throw new IllegalStateException("meant");
+        });
+        loop.post(done::countDown);
+        await(done);
+        assertEquals(1, failures.size());
+    }
+
+    @Test
+    public void datagramsArriveFromTheAddressOfTheirSender() throws IOException, InterruptedException {
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        List<InetSocketAddress> senders = new ArrayList<>();
+        CountDownLatch heard = new CountDownLatch(1);
+        PeerSocket one = new PeerSocket(loop, any, (from, bytes) -> {
+            senders.add(from);
+            heard.countDown();
+        });
+        PeerSocket other = new PeerSocket(loop, any, (from, bytes) -> {});
+        loop.post(() -> other.send(one.address(), new byte[] {1, 2, 3}));
+        await(heard);
+        assertEquals(List.of(other.address()), senders);
+        one.close();
+        other.close();
+    }
+}
--- /dev/null
+++ b/scale/src/test/java/baymoor/scale/run/ListChangesTest.java
@@ -0,0 +1,42 @@
+package baymoor.scale.run;
+
+import static org.junit.Assert.assertEquals;
+
+import baymoor.scale.hollow.Totals.KnownVersion;
+import java.util.List;
+import org.junit.Test;
+
+/** A change is known once a balancer holds its version or a later one. */
+public class ListChangesTest {
+
+    private final ListChanges changes = new ListChanges();
+
+    @Test
+    public void aLaterVersionCountsForTheEarlierOne() {
+        changes.shown(2, 1_000_000);
+        changes.shown(3, 1_200_000);
+        changes.shown(3, 9_000_000);
+        List<KnownVersion> known = List.of(
+                new KnownVersion(0, 2, 1_100_000),
+                new KnownVersion(0, 3, 1_300_000),
+                new KnownVersion(1, 3, 1_500_000));
+        List<ListChanges.Change> found = changes.changes(500_000, 2_000_000, known, 2);
+        assertEquals(2, found.size());
+        assertEquals(new ListChanges.Change(0.5, 100, 500, 500), found.get(0));
+        assertEquals(new ListChanges.Change(0.7, 100, 300, 300), found.get(1));
+    }
+
+    @Test
+    public void whatSomebodyNeverKnowsIsSaidSo() {
+        changes.shown(2, 1_000_000);
+        List<ListChanges.Change> found = changes.changes(0, 2_000_000, List.of(new KnownVersion(5, 2, 1_400_000)), 2);
+        assertEquals(new ListChanges.Change(1, 400, -1, -1), found.get(0));
+    }
+
+    @Test
+    public void changesOutsideOfTheTimeThatCountsAreLeftOut() {
+        changes.shown(1, 100);
+        changes.shown(2, 5_000_000);
+        assertEquals(0, changes.changes(1_000, 4_000_000, List.of(), 1).size());
+    }
+}
