--- a/scale/src/main/java/baymoor/scale/real/ProcessReading.java
+++ b/scale/src/main/java/baymoor/scale/real/ProcessReading.java
@@ -9,10 +9,10 @@
 /**
  * What the kernel says of a process.
  *
- * @param cpuNanos    processor time of all its threads that live
+ * @param cpu         of the threads that live
  * @param memoryBytes resident
  */
-record ProcessReading(long cpuNanos, long memoryBytes) {
+record ProcessReading(CpuParts cpu, long memoryBytes) {
 
     private static final String RESIDENT = "VmRSS:";
     private static final int BYTES_A_KILOBYTE = 1024;
@@ -21,21 +21,20 @@
     static ProcessReading of(long pid) {
         Path folder = Path.of("/proc", Long.toString(pid));
         try (Stream<Path> threads = Files.list(folder.resolve("task"))) {
-            long cpu = 0;
-            for (Path thread : (Iterable<Path>) threads::iterator) {
-                cpu += cpu(thread);
-            }
+            CpuParts cpu = threads.map(ProcessReading::cpu).reduce(CpuParts.NONE, CpuParts::plus);
             return new ProcessReading(cpu, resident(Files.readAllLines(folder.resolve("status"))));
         } catch (IOException e) {
-            return new ProcessReading(0, 0);
+            return new ProcessReading(CpuParts.NONE, 0);
         }
     }
 
-    private static long cpu(Path thread) {
+    private static CpuParts cpu(Path thread) {
         try {
-            return Long.parseLong(Files.readString(thread.resolve("schedstat")).split(" ")[0]);
+            long nanos =
+                    Long.parseLong(Files.readString(thread.resolve("schedstat")).split(" ")[0]);
+            return CpuParts.ofThread(Files.readString(thread.resolve("comm")), nanos);
         } catch (IOException e) {
-            return 0; // it has just ended
+            return CpuParts.NONE; // it has just ended
         }
     }
 
--- a/scale/src/main/java/baymoor/scale/real/RealFleet.java
+++ b/scale/src/main/java/baymoor/scale/real/RealFleet.java
@@ -221,7 +221,7 @@
         return new RealSample(
                 balancer.number,
                 System.nanoTime(),
-                reading.cpuNanos(),
+                reading.cpu(),
                 reading.memoryBytes(),
                 counter(info, "requests"),
                 counter(info, "peer_heard"),
--- a/scale/src/main/java/baymoor/scale/real/RealSample.java
+++ b/scale/src/main/java/baymoor/scale/real/RealSample.java
@@ -9,7 +9,7 @@
 public record RealSample(
         int number,
         long atNanos,
-        long cpuNanos,
+        CpuParts cpu,
         long memoryBytes,
         long requests,
         long messagesIn,
--- a/scale/src/main/java/baymoor/scale/run/RealFigures.java
+++ b/scale/src/main/java/baymoor/scale/run/RealFigures.java
@@ -1,11 +1,13 @@
 package baymoor.scale.run;
 
 import baymoor.scale.hollow.Totals;
+import baymoor.scale.real.CpuParts;
 import baymoor.scale.real.RealSample;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToLongFunction;
 import org.apache.commons.math3.stat.regression.SimpleRegression;
 
 /**
@@ -36,8 +38,14 @@
         return (after.get(i).requests() - before.get(i).requests()) / seconds(i);
     }
 
+    private double cpu(int i, ToLongFunction<CpuParts> part) {
+        long nanos = part.applyAsLong(after.get(i).cpu())
+                - part.applyAsLong(before.get(i).cpu());
+        return nanos / 1e9 / seconds(i);
+    }
+
     private double cpu(int i) {
-        return (after.get(i).cpuNanos() - before.get(i).cpuNanos()) / 1e9 / seconds(i);
+        return cpu(i, CpuParts::sum);
     }
 
     /** Processor seconds that a request costs, by the line through all; what it costs a hollow one where that can't be told. */
@@ -88,6 +96,10 @@
         figures.put("cpuServingSecondsPerSecond", serving);
         figures.put("memoryBytes", (double) now.memoryBytes());
         figures.put("requestsPerSecond", requests(i));
+        figures.put("cpuDecisionsSecondsPerSecond", cpu(i, CpuParts::decisions));
+        figures.put("cpuNetworkSecondsPerSecond", cpu(i, CpuParts::network));
+        figures.put("cpuCompilerSecondsPerSecond", cpu(i, CpuParts::compiler));
+        figures.put("cpuOtherSecondsPerSecond", cpu(i, CpuParts::other));
         if (hollow.hasBalancers()) {
             figures.put("ageP50Ms", hollow.mean(Totals::realAgeP50Millis));
             figures.put("ageP99Ms", hollow.mean(Totals::realAgeP99Millis));
--- a/scale/src/main/java/baymoor/scale/run/ScaleTable.java
+++ b/scale/src/main/java/baymoor/scale/run/ScaleTable.java
@@ -1,8 +1,10 @@
 package baymoor.scale.run;
 
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 
 /** The figures of a scale run as a table against the budget of a balancer's control. */
 public final class ScaleTable {
@@ -34,7 +36,9 @@
         row(text, "control, bytes/s with headers", bytes(result.hollow()), bytes(real), BYTES_BUDGET);
         row(text, "control, % of a core", cpu(result.hollow()), cpu(real), CPU_BUDGET * PERCENT);
         row(text, "memory, MB", megabytes(result.hollow()), megabytes(real), MEMORY_BUDGET / 1e6);
-        for (String figure : result.hollow().keySet()) {
+        Set<String> names = new LinkedHashSet<>(result.hollow().keySet());
+        names.addAll(real.keySet());
+        for (String figure : names) {
             row(text, figure, result.hollow().get(figure), real.get(figure), null);
         }
         result.changes()
