--- a/scale/src/main/java/baymoor/scale/hollow/HollowBalancer.java
+++ b/scale/src/main/java/baymoor/scale/hollow/HollowBalancer.java
@@ -30,8 +30,8 @@
  */
 final class HollowBalancer {
 
-    /** A version of the list, and when it was known here, on the clock of all processes. */
-    record Known(long version, long atMicros) {}
+    /** A version of the list, and when it was known here, on the clock of all processes; {@code atStart} from its configuration. */
+    record Known(long version, long atMicros, boolean atStart) {}
 
     /** What the balancers of one process have in common. */
     record Surroundings(
@@ -88,6 +88,7 @@
                             line -> {}));
             parts.start(() -> {});
             version = parts.listVersion();
+            known.add(new Known(version, around.clock().micros(), true));
         }
 
         @Override
@@ -179,7 +180,7 @@
             long held = parts.listVersion();
             if (held != version) {
                 version = held;
-                known.add(new Known(held, around.clock().micros()));
+                known.add(new Known(held, around.clock().micros(), false));
             }
         }
 
--- a/scale/src/main/java/baymoor/scale/hollow/HollowProcess.java
+++ b/scale/src/main/java/baymoor/scale/hollow/HollowProcess.java
@@ -345,7 +345,8 @@
                     .forEach((router, count) -> asked.merge(
                             router.getAddress().getHostAddress() + ":" + router.getPort(), count, Long::sum));
             balancer.known()
-                    .forEach(k -> known.add(new Totals.KnownVersion(balancer.number(), k.version(), k.atMicros())));
+                    .forEach(k -> known.add(
+                            new Totals.KnownVersion(balancer.number(), k.version(), k.atMicros(), k.atStart())));
             traffic.add(balancer.traffic());
         }
 
--- a/scale/src/main/java/baymoor/scale/hollow/Totals.java
+++ b/scale/src/main/java/baymoor/scale/hollow/Totals.java
@@ -52,6 +52,10 @@
         List<Long> toRealMessages,
         List<KnownVersion> known) {
 
-    /** A balancer holds a version of the list from a time on, on the clock of all processes. */
-    public record KnownVersion(int balancer, long version, long atMicros) {}
+    /**
+     * A balancer holds a version of the list from a time on, on the clock of all processes.
+     *
+     * @param atStart whether it started with that version: it did not run before, or was another process
+     */
+    public record KnownVersion(int balancer, long version, long atMicros, boolean atStart) {}
 }
--- a/scale/src/main/java/baymoor/scale/real/RealFleet.java
+++ b/scale/src/main/java/baymoor/scale/real/RealFleet.java
@@ -220,6 +220,7 @@
         ProcessReading reading = ProcessReading.of(balancer.process.pid());
         return new RealSample(
                 balancer.number,
+                balancer.process.pid(),
                 System.nanoTime(),
                 reading.cpu(),
                 reading.memoryBytes(),
--- a/scale/src/main/java/baymoor/scale/run/ListChanges.java
+++ b/scale/src/main/java/baymoor/scale/run/ListChanges.java
@@ -2,11 +2,13 @@
 
 import baymoor.scale.hollow.Totals;
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.HashMap;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /** When discovery came to show each version of the list, and how long each took to be known. */
 final class ListChanges {
@@ -27,13 +29,12 @@
      * @param fromMicros changes before that don't count
      * @param toMicros   nor those after that
      * @param known      what the balancers told
-     * @param balancers  that should know of each change
+     * @param balancers  that should know of each change, but for those that did not run until they started with it
      */
     List<Change> changes(long fromMicros, long toMicros, List<Totals.KnownVersion> known, int balancers) {
-        Map<Integer, TreeMap<Long, Long>> byBalancer = new HashMap<>();
-        known.forEach(k -> byBalancer
-                .computeIfAbsent(k.balancer(), b -> new TreeMap<>())
-                .merge(k.version(), k.atMicros(), Math::min));
+        Map<Integer, List<Totals.KnownVersion>> byBalancer = known.stream()
+                .sorted(Comparator.comparingLong(Totals.KnownVersion::atMicros))
+                .collect(Collectors.groupingBy(Totals.KnownVersion::balancer));
         List<Change> changes = new ArrayList<>();
         shown.forEach((version, at) -> {
             if (at >= fromMicros && at <= toMicros) {
@@ -44,25 +45,29 @@
     }
 
     private static Change change(
-            long version, long at, long from, Map<Integer, TreeMap<Long, Long>> byBalancer, int balancers) {
-        double[] millis = new double[balancers];
-        Arrays.fill(millis, Double.POSITIVE_INFINITY);
-        int i = 0;
-        for (TreeMap<Long, Long> versions : byBalancer.values()) {
-            long first = versions.tailMap(version, true).values().stream()
-                    .mapToLong(Long::longValue)
-                    .min()
-                    .orElse(Long.MAX_VALUE);
-            if (first != Long.MAX_VALUE && i < balancers) {
-                millis[i++] = Math.max(0, (first - at) / 1e3);
+            long version, long at, long from, Map<Integer, List<Totals.KnownVersion>> byBalancer, int balancers) {
+        int expected = balancers;
+        List<Double> millis = new ArrayList<>();
+        for (List<Totals.KnownVersion> told : byBalancer.values()) {
+            Optional<Totals.KnownVersion> first = told.stream()
+                    .filter(known -> known.version() >= version && known.atMicros() >= at)
+                    .findFirst();
+            if (first.isPresent() && first.get().atStart()) {
+                expected--;
+            } else if (first.isPresent()) {
+                millis.add((first.get().atMicros() - at) / 1e3);
             }
         }
-        Arrays.sort(millis);
-        return new Change((at - from) / 1e6, part(millis, 0.5), part(millis, 0.99), part(millis, 1));
+        Collections.sort(millis);
+        return new Change(
+                (at - from) / 1e6,
+                part(millis, expected, 0.5),
+                part(millis, expected, 0.99),
+                part(millis, expected, 1));
     }
 
-    private static double part(double[] sorted, double part) {
-        double found = sorted[Math.max(0, (int) Math.ceil(part * sorted.length) - 1)];
-        return Double.isInfinite(found) ? NEVER : found;
+    private static double part(List<Double> sorted, int expected, double part) {
+        int place = Math.max(0, (int) Math.ceil(part * expected) - 1);
+        return place < sorted.size() ? sorted.get(place) : NEVER;
     }
 }
--- a/scale/src/main/java/baymoor/scale/run/RealFigures.java
+++ b/scale/src/main/java/baymoor/scale/run/RealFigures.java
@@ -24,10 +24,17 @@
     private final List<RealSample> after;
     private final Figures hollow;
 
+    /** One that was started again between the two has no figures. */
     RealFigures(List<RealSample> before, List<RealSample> after, Figures hollow) {
-        this.before = before;
-        this.after = after;
+        this.before = new ArrayList<>();
+        this.after = new ArrayList<>();
         this.hollow = hollow;
+        for (int i = 0; i < after.size(); i++) {
+            if (before.get(i).pid() == after.get(i).pid()) {
+                this.before.add(before.get(i));
+                this.after.add(after.get(i));
+            }
+        }
     }
 
     private double seconds(int i) {
@@ -98,8 +105,7 @@
         figures.put("requestsPerSecond", requests(i));
         figures.put("cpuDecisionsSecondsPerSecond", cpu(i, CpuParts::decisions));
         figures.put("cpuNetworkSecondsPerSecond", cpu(i, CpuParts::network));
-        figures.put("cpuCompilerSecondsPerSecond", cpu(i, CpuParts::compiler));
-        figures.put("cpuOtherSecondsPerSecond", cpu(i, CpuParts::other));
+        figures.put("cpuMachineSecondsPerSecond", cpu(i, CpuParts::machine));
         if (hollow.hasBalancers()) {
             figures.put("ageP50Ms", hollow.mean(Totals::realAgeP50Millis));
             figures.put("ageP99Ms", hollow.mean(Totals::realAgeP99Millis));
