--- a/scale/src/main/java/baymoor/scale/run/HollowFleet.java
+++ b/scale/src/main/java/baymoor/scale/run/HollowFleet.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 /** The processes of the hollow balancers. Each ends when its standard input does, also where this program is killed. */
 final class HollowFleet {
@@ -35,7 +36,8 @@
         private final List<Integer> numbers;
         private final OutputStream orders;
         private final BlockingQueue<Totals> totals = new ArrayBlockingQueue<>(16);
-        private volatile Status status = new Status(0, 0, 0, 0, 0);
+        private volatile Status status = Status.NONE;
+        private volatile int ordered;
 
         Child(Process process, List<Integer> numbers) {
             this.process = process;
@@ -65,6 +67,7 @@
         synchronized void order(Command command) throws IOException {
             orders.write((JSON.writeValueAsString(command) + "\n").getBytes(StandardCharsets.UTF_8));
             orders.flush();
+            ordered++;
         }
 
         Totals sample(boolean collect) throws IOException, InterruptedException {
@@ -108,20 +111,18 @@
 
     /** The sum of what all told last; the version is the lowest. */
     Status status() {
-        int running = 0;
-        int listed = 0;
-        int heardAll = 0;
-        long version = Long.MAX_VALUE;
-        long fetches = 0;
-        for (Child child : children) {
-            Status status = child.status;
-            running += status.running();
-            listed += status.listed();
-            heardAll += status.heardAll();
-            version = Math.min(version, status.version());
-            fetches += status.fetches();
-        }
-        return new Status(running, listed, heardAll, version, fetches);
+        return children.stream().map(child -> child.status).reduce(Status.NONE, Status::plus);
+    }
+
+    /** How many orders each process was given so far. */
+    List<Integer> ordered() {
+        return children.stream().map(child -> child.ordered).toList();
+    }
+
+    /** Whether what each process told last was after so many orders. */
+    boolean statusAfter(List<Integer> orders) {
+        return IntStream.range(0, orders.size())
+                .allMatch(i -> children.get(i).status.orders() >= orders.get(i));
     }
 
     /** What each process came to so far. */
--- a/scale/src/main/java/baymoor/scale/run/ScaleResult.java
+++ b/scale/src/main/java/baymoor/scale/run/ScaleResult.java
@@ -15,6 +15,7 @@
         Map<String, Double> hollow,
         List<Map<String, Double>> real,
         List<Map<String, Double>> changes,
+        List<Recoveries.Recovery> recoveries,
         Map<String, Double> notes) {
 
     /** The machine: its cores, how late a thread ran there, and datagrams that the kernel dropped. */
--- a/scale/src/main/java/baymoor/scale/run/ScaleRun.java
+++ b/scale/src/main/java/baymoor/scale/run/ScaleRun.java
@@ -67,6 +67,7 @@
     private final Addresses addresses;
     private final MachineWatch machine;
     private final HollowFleet hollow = new HollowFleet();
+    private final Recoveries recoveries;
     private final OriginWatch origin;
     private final ListChanges changes = new ListChanges();
     private final List<String> reasons = Collections.synchronizedList(new ArrayList<>());
@@ -87,6 +88,7 @@
         net = new MinaNet(thread);
         addresses = new Addresses(plan.balancers().real());
         machine = new MachineWatch(addresses.own());
+        recoveries = new Recoveries(hollow, plan.balancers().hollow());
         origin = new OriginWatch(plan.origin().capacity()
                 * plan.balancers().hollow()
                 / plan.balancers().count());
@@ -279,7 +281,16 @@
     private ScaleResult measure(String file) throws IOException, InterruptedException {
         options.progress().accept("warming up");
         hollow.order(Command.of(Command.Order.ASK));
-        Script script = new Script(plan, time, platform, configurations, hollow, real, relay, reasons::add);
+        Script script = new Script(
+                plan,
+                time,
+                platform,
+                configurations,
+                hollow,
+                real,
+                relay,
+                fault -> recoveries.over(fault, clock.micros()),
+                reasons::add);
         onThread(() -> {
             world.begin();
             script.begin();
@@ -293,6 +304,7 @@
         List<Totals> before = hollow.sample(false);
         List<RealSample> realBefore = real.sample();
         long from = clock.micros();
+        recoveries.begin(from);
         options.progress().accept("measuring");
         pass(plan.durationMicros());
         List<Totals> after = hollow.sample(false);
@@ -322,6 +334,7 @@
             Thread.sleep(Math.max(1, Math.min(STEP_MILLIS, clock.real(left) / 1000)));
             double load = origin.read(clock.micros() / 1e6, hollow.status().fetches());
             hollow.order(Command.value(Command.Order.ORIGIN_LOAD, load));
+            recoveries.look(clock.micros());
             checkAlive();
         }
     }
@@ -364,6 +377,7 @@
                 mean,
                 realFigures.each(),
                 changed,
+                recoveries.all(),
                 notes(figures));
     }
 
--- a/scale/src/main/java/baymoor/scale/run/ScaleTable.java
+++ b/scale/src/main/java/baymoor/scale/run/ScaleTable.java
@@ -49,6 +49,13 @@
                         change.get("known50Ms"),
                         change.get("known99Ms"),
                         change.get("known100Ms"))));
+        result.recoveries()
+                .forEach(recovery -> text.append(String.format(
+                        Locale.ROOT,
+                        "  %s, over at %.1f s: all have heard all again %.0f ms later%n",
+                        recovery.fault(),
+                        recovery.atSeconds(),
+                        recovery.recoveredMs())));
         return text.append(String.format(
                         Locale.ROOT,
                         "  machine: %d cores, late by %.1f ms (p99), %d datagrams dropped; the run %s",
--- a/scale/src/main/java/baymoor/scale/run/Script.java
+++ b/scale/src/main/java/baymoor/scale/run/Script.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Locale;
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
@@ -28,10 +29,14 @@
     private final HollowFleet hollow;
     private final Fleet real;
     private final DatagramRelay relay;
+    private final Consumer<String> over;
     private final Consumer<String> failed;
     private final Random random;
 
-    /** @param relay of the real balancers' datagrams, or null */
+    /**
+     * @param relay of the real balancers' datagrams, or null
+     * @param over  hears of each fault that is over
+     */
     Script(
             ScalePlan plan,
             Time time,
@@ -40,6 +45,7 @@
             HollowFleet hollow,
             Fleet real,
             DatagramRelay relay,
+            Consumer<String> over,
             Consumer<String> failed) {
         this.plan = plan;
         this.time = time;
@@ -48,6 +54,7 @@
         this.hollow = hollow;
         this.real = real;
         this.relay = relay;
+        this.over = over;
         this.failed = failed;
         random = new Random(plan.seed());
     }
@@ -84,14 +91,19 @@
 
     private void play(Act act) throws IOException {
         switch (act.what()) {
-            case CUT_ZONE -> cutFor(List.of(act.place()), act.forMicros());
-            case CUT_REGION -> cutFor(plan.places().zonesOfRegion(act.place()), act.forMicros());
-            case LOSE_ZONE -> killFor(inZone(act.place()), act.forMicros());
-            case KILL_BALANCERS -> killFor(some(act.count()), act.forMicros());
+            case CUT_ZONE -> cutFor(List.of(act.place()), act);
+            case CUT_REGION -> cutFor(plan.places().zonesOfRegion(act.place()), act);
+            case LOSE_ZONE -> killFor(inZone(act.place()), act.forMicros(), () -> ended(act));
+            case KILL_BALANCERS -> killFor(some(act.count()), act.forMicros(), () -> ended(act));
             case RESTART_BALANCERS -> restart(act);
             case LOSE_DATAGRAMS -> {
                 lose(act.share());
-                time.after(act.forMicros(), () -> attempt(() -> lose(0)));
+                time.after(
+                        act.forMicros(),
+                        () -> attempt(() -> {
+                            lose(0);
+                            ended(act);
+                        }));
             }
             case DRAIN_ROUTER, DISCOVERY_DOWN -> {
                 // The world plays it.
@@ -100,6 +112,10 @@
         }
     }
 
+    private void ended(Act act) {
+        over.accept(act.what().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+    }
+
     private List<Integer> inZone(int zone) {
         Places places = plan.places();
         return IntStream.range(0, plan.balancers().count())
@@ -115,9 +131,14 @@
         return numbers.subList(0, Math.min(count, numbers.size()));
     }
 
-    private void cutFor(List<Integer> zones, long micros) throws IOException {
+    private void cutFor(List<Integer> zones, Act act) throws IOException {
         cut(zones, true);
-        time.after(micros, () -> attempt(() -> cut(zones, false)));
+        time.after(
+                act.forMicros(),
+                () -> attempt(() -> {
+                    cut(zones, false);
+                    ended(act);
+                }));
     }
 
     /** Zones on one side of a cut go on hearing each other. */
@@ -147,10 +168,15 @@
         }
     }
 
-    private void killFor(List<Integer> numbers, long micros) throws IOException {
+    private void killFor(List<Integer> numbers, long micros, Runnable revived) throws IOException {
         hollow.order(Command.on(Command.Order.KILL, numbers));
         numbers.stream().filter(this::isReal).forEach(number -> real.kill(number, micros, false));
-        time.after(micros, () -> attempt(() -> revive(numbers)));
+        time.after(
+                micros,
+                () -> attempt(() -> {
+                    revive(numbers);
+                    revived.run();
+                }));
     }
 
     private boolean isReal(int number) {
@@ -174,13 +200,14 @@
             int number = numbers.get(i);
             time.after(act.withinMicros() * i / numbers.size(), () -> attempt(() -> restart(number)));
         }
+        time.after(act.withinMicros() + RESTART_MICROS, () -> ended(act));
     }
 
     private void restart(int number) throws IOException {
         if (isReal(number)) {
             real.restart(number, true);
         } else {
-            killFor(List.of(number), RESTART_MICROS);
+            killFor(List.of(number), RESTART_MICROS, () -> {});
         }
     }
 }
