--- a/balancer/src/test/java/baymoor/south/SouthTest.java
+++ b/balancer/src/test/java/baymoor/south/SouthTest.java
@@ -34,7 +34,7 @@
     private final Set<String> unwanted = new HashSet<>();
     private South south = south(10);
 
-    private South south(int mostLanes) {
+    private South south(int maxConnections) {
         list(ROUTER, "two-core", State.RUNNING);
         list(ORIGIN, "origin", State.RUNNING);
         return new South(
@@ -50,10 +50,10 @@
                 "origin",
                 List.of(),
                 new Limits(5, 0, false, true, true, true, true, 0, 250_000, 30_000_000, 32, 0, 0),
-                mostLanes,
-                new South.Ends() {
+                maxConnections,
+                new South.Listener() {
                     @Override
-                    public void relayEnded(String request, int attempt, long host, Reply reply, long latencyMicros) {
+                    public void attemptEnded(String request, int attempt, long host, Reply reply, long latencyMicros) {
                         String value = reply.value() == null ? "" : " " + new String(reply.value());
                         ended.add(request + " " + reply.outcome() + value);
                     }
@@ -75,7 +75,7 @@
                 request,
                 0,
                 host,
-                new Parcel("k", request, Map.of("d", "9"), value),
+                new RequestContent("k", request, Map.of("d", "9"), value),
                 time.now() + 800_000,
                 () -> !unwanted.contains(request));
         return links.size() > before ? links.get(before) : null;
@@ -88,7 +88,7 @@
         return link;
     }
 
-    /** An answered connection rests for a moment before it may carry the next relay. */
+    /** An answered connection rests for a moment before it may carry the next attempt. */
     private void rest() {
         time.pass(20_000);
     }
@@ -124,7 +124,13 @@
         for (long host : new long[] {ROUTER, ORIGIN}) {
             String request = "told" + host;
             long untilMicros = time.now() + 800_000;
-            south.send(request, 1, host, new Parcel("k", request, Map.of("d", "1400"), null), untilMicros, () -> true);
+            south.send(
+                    request,
+                    1,
+                    host,
+                    new RequestContent("k", request, Map.of("d", "1400"), null),
+                    untilMicros,
+                    () -> true);
             FakeLink link = links.get(links.size() - 1);
             time.pass(200_000);
             link.events.opened();
@@ -134,7 +140,7 @@
         }
     }
 
-    /** Danger: what the driver has read already, and the decisions not heard of, would be the next relay's answer. */
+    /** Danger: what the driver has read already, and the decisions not heard of, would be the next attempt's answer. */
     @Test
     public void anIdleConnectionOnWhichSomethingCameOrThatIsOverIsNotTaken() {
         for (int i = 0; i < 2; i++) {
@@ -292,7 +298,7 @@
     }
 
     @Test
-    public void whatNobodyWaitsForNeverAnswersTheNextRelay() {
+    public void whatNobodyWaitsForNeverAnswersTheNextAttempt() {
         FakeLink link = sendAndWrite("r", ROUTER);
         link.in(HIT);
         ends();
@@ -314,7 +320,7 @@
     }
 
     @Test
-    public void aCopyThatComesSomeMillisecondsLateFindsNoRelayToAnswer() {
+    public void aCopyThatComesSomeMillisecondsLateFindsNoAttemptToAnswer() {
         FakeLink link = sendAndWrite("a", ROUTER);
         link.in(HIT);
         assertEquals("a SERVED v", ends());
@@ -330,7 +336,7 @@
     }
 
     @Test
-    public void aCopyRightBehindAnAnswerFindsNoRelayToAnswer() {
+    public void aCopyRightBehindAnAnswerFindsNoAttemptToAnswer() {
         FakeLink link = sendAndWrite("r", ROUTER);
         link.in(HIT);
         assertEquals("r SERVED v", ends());
@@ -375,7 +381,7 @@
         FakeLink next = send("s", 3, null);
         assertTrue("a connection of its own", next != null);
         time.pass(1_000_000);
-        assertTrue("its relay is still out", south.uses(ROUTER));
+        assertTrue("its attempt is still out", south.uses(ROUTER));
         link.events.closed();
         time.pass(1_000_000);
         assertFalse(south.uses(ROUTER));
@@ -383,7 +389,7 @@
     }
 
     @Test
-    public void pastTheBoundRelaysWaitForAConnection() {
+    public void pastTheBoundAttemptsWaitForAConnection() {
         south = south(1);
         FakeLink link = sendAndWrite("r", ROUTER);
         assertEquals(null, send("s", ROUTER, null));
--- a/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/Scenario.java
@@ -23,8 +23,8 @@
         List<Tenant> tenants,
         Keys keys,
         Figures figures,
-        Told told,
-        List<Act> script) {
+        ModuleSettings moduleSettings,
+        List<ScriptedEvent> script) {
 
     public Scenario {
         zones = List.copyOf(zones);
@@ -108,7 +108,9 @@
     /**
      * Discovery. {@code notice}: until it knows that a process ended or drains; {@code silent}: until it knows of one
      * that fell silent; {@code add}: of a new one; {@code spread}: until a change is written to a watch; a call costs
-     * {@code callMicros} and {@code lineMicros} for each entry, and fails after waiting {@code patienceMicros}. Where
+     * {@code callMicros} and {@code lineMicros} for each entry, and fails after waiting {@code timeoutMicros}, or where it
+     * would have to and it fails {@code atOnce}, which costs {@code failedMicros}. A balancer starts with the list as it is, or
+     * {@code startsAsHeld}, with the one that was written to it last. Where
      * lists are {@code pushed}, an agent on each balancer's machine has them {@code spread} later and answers at once.
      */
     public record Discovery(
@@ -119,7 +121,10 @@
             Span spread,
             long callMicros,
             long lineMicros,
-            long patienceMicros) {}
+            long timeoutMicros,
+            long failedMicros,
+            boolean atOnce,
+            boolean startsAsHeld) {}
 
     /**
      * Open-loop traffic. {@code zoneShares}: of the zones in their order; {@code wave}: swing of a slow sine with the
@@ -163,6 +168,7 @@
             long windowMicros,
             double worth) {}
 
+    /** A tenant and its share of the requests. */
     public record Tenant(String name, double share) {}
 
     /**
@@ -193,7 +199,7 @@
      * {@code byWork}: whether worth counts by work; {@code cpuMicros}: processor time for decisions in a second;
      * {@code streams}: requests that a connection may carry at a time.
      */
-    public record Told(
+    public record ModuleSettings(
             boolean work,
             boolean sizes,
             boolean retries,
@@ -211,7 +217,7 @@
     }
 
     /** What can happen to the world. */
-    public enum What {
+    public enum EventKind {
         SURGE,
         SCAN,
         CUT,
@@ -250,8 +256,8 @@
      * One act of the script: {@code count} of its objects (chosen by the seed, or {@code zone}'s), for a time, by a
      * factor or a share. {@code withinMicros}: spread over so long; {@code atOnce}: so large a share at a time.
      */
-    public record Act(
-            What what,
+    public record ScriptedEvent(
+            EventKind what,
             long atMicros,
             long forMicros,
             double factor,
@@ -264,6 +270,7 @@
             boolean planned,
             int line) {}
 
+    /** Routers of all kinds together. */
     public int routerCount() {
         return routers.stream().mapToInt(RouterKind::count).sum();
     }
--- a/emulator/src/main/java/baymoor/emulator/world/Router.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Router.java
@@ -127,18 +127,22 @@
         cache = new ObjectCache(kind.memory(), kind.ttlMicros());
     }
 
+    /** Its name, as the inventory lists it. */
     public String name() {
         return name;
     }
 
+    /** The number of the zone that it stands in. */
     public int zone() {
         return zone;
     }
 
+    /** Its kind: the figures that it shares with others. */
     public RouterKind kind() {
         return kind;
     }
 
+    /** Whether it is up, draining or down. */
     public State state() {
         return state;
     }
@@ -206,10 +210,12 @@
         state = State.DRAINING;
     }
 
+    /** It takes new requests again. */
     public void undrain() {
         state = State.UP;
     }
 
+    /** From now on its work takes so many times as long; 1 for its usual speed. */
     public void slow(double times) {
         slowness = times;
         tune();
@@ -264,6 +270,7 @@
         return Math.min(1, kind.coldShare() + (1 - kind.coldShare()) * Math.max(0, part));
     }
 
+    /** Whether it has started lately and does not have its full capacity yet. */
     public boolean cold() {
         return state != State.DOWN && since > 0 && warmth() < 1;
     }
@@ -440,9 +447,9 @@
                 answer(due, RespWriter.error("SYNTAX"));
                 return;
             }
-            Catalogue.Thing thing = catalogue.thing(named);
+            Catalogue.KeyProfile profile = catalogue.profile(named);
             boolean hit = read && cache.hit(key, time.now());
-            double work = (hit ? catalogue.work(requestClass, thing) : kind.missMicros())
+            double work = (hit ? catalogue.work(requestClass, profile) : kind.missMicros())
                     + (fresh ? kind.handshakeMicros() : 0);
             fresh = false;
             if (read) {
@@ -452,7 +459,7 @@
             if (born != life) {
                 return; // that was too much
             }
-            Work job = new Work(this, due, key, id, thing, read, work, time.now() + wait);
+            Work job = new Work(this, due, key, id, profile, read, work, time.now() + wait);
             if (state == State.DRAINING || !station.offer(job)) {
                 turnAway(due);
             }
@@ -506,7 +513,7 @@
                     judge.hostAnswered(due.id, name, false);
                     link.write(FAILED);
                 }
-                case SILENT -> {}
+                default -> {} // SILENT: nothing is written
             }
         }
 
@@ -524,7 +531,7 @@
         private final Due due;
         private final String key;
         private final String id;
-        private final Catalogue.Thing thing;
+        private final Catalogue.KeyProfile profile;
         private final boolean read;
         private final double work;
         private final long until;
@@ -535,7 +542,7 @@
                 Due due,
                 String key,
                 String id,
-                Catalogue.Thing thing,
+                Catalogue.KeyProfile profile,
                 boolean read,
                 double work,
                 long until) {
@@ -543,7 +550,7 @@
             this.due = due;
             this.key = key;
             this.id = id;
-            this.thing = thing;
+            this.profile = profile;
             this.read = read;
             this.work = work;
             this.until = until;
@@ -579,7 +586,7 @@
                 from.answer(due, FAILED);
                 return;
             }
-            byte[] value = Values.value(key, id, thing.size());
+            byte[] value = Values.value(key, id, profile.size());
             judge.made(id, value);
             from.answer(due, answer(RespWriter.bulk(value), "hit"));
         }
