--- a/benchmarks/src/main/java/baymoor/benchmarks/Instance.java
+++ b/benchmarks/src/main/java/baymoor/benchmarks/Instance.java
@@ -30,6 +30,7 @@
 import merlinstep.Decisions.Tenant;
 import merlinstep.Decisions.TimerFired;
 import merlinstep.Decisions.Weights;
+import org.openjdk.jol.info.GraphLayout;
 
 /** One instance of the decision module with its clock, timer and the actions of the last event. */
 final class Instance {
@@ -88,6 +89,11 @@
         nowMicros += micros;
     }
 
+    /** Bytes of heap that the decision module holds. */
+    long retainedBytes() {
+        return GraphLayout.parseInstance(decisions).totalSize();
+    }
+
     long nowMicros() {
         return nowMicros;
     }
