--- a/cli/src/main/java/baymoor/cli/ScaleCommand.java
+++ b/cli/src/main/java/baymoor/cli/ScaleCommand.java
@@ -9,7 +9,7 @@
         name = "scale",
         mixinStandardHelpOptions = true,
         description = "Run a whole tier on this machine and measure what each balancer costs.",
-        subcommands = {ScaleRunCommand.class, ScaleFit.class})
+        subcommands = {ScaleRunCommand.class, ScaleFit.class, ScaleFitBenchmarks.class})
 final class ScaleCommand implements Runnable {
 
     @Spec
--- a/scale/src/main/java/baymoor/scale/fit/ModelSelection.java
+++ b/scale/src/main/java/baymoor/scale/fit/ModelSelection.java
@@ -14,6 +14,9 @@
     /** A further term must lower the prediction sum of squares to this part, so that noise alone seldom brings one in. */
     private static final double MARKED = 0.8;
 
+    /** The most of a dimension against its least from which on runs differ in it by intent. */
+    private static final double MEANT = 1.5;
+
     /** Runs of at least so many different numbers of balancers are needed for a fit. */
     private static final int SIZES_NEEDED = 3;
 
@@ -45,52 +48,73 @@
         return names;
     }
 
+    /** A set of terms with its fit. */
+    private record Model(List<Dimension> dimensions, LeastSquares fit) {}
+
     private static FigureFit fit(String figure, List<Result> results) {
-        List<Dimension> chosen = List.of(Dimension.BALANCERS);
-        LeastSquares linear = regression(figure, chosen, results);
-        List<Dimension> withSquare = List.of(Dimension.BALANCERS, Dimension.BALANCERS_SQUARED);
-        LeastSquares quadratic = regression(figure, withSquare, results);
-        LeastSquares best = linear;
-        while (!best.exact()) {
-            Dimension next = null;
-            LeastSquares lowest = best;
-            for (Dimension candidate : Dimension.values()) {
-                LeastSquares extended =
-                        chosen.contains(candidate) ? null : regression(figure, with(chosen, candidate), results);
-                if (extended != null
-                        && worthATerm(extended, best, chosen.size())
-                        && extended.press() < lowest.press()) {
-                    next = candidate;
-                    lowest = extended;
-                }
-            }
-            if (next == null) {
-                break;
-            }
-            chosen = with(chosen, next);
-            best = lowest;
+        Model linear = model(figure, List.of(Dimension.BALANCERS), results);
+        Model quadratic = model(figure, List.of(Dimension.BALANCERS, Dimension.BALANCERS_SQUARED), results);
+        Model best = linear;
+        Model better = betterModel(figure, best, results);
+        while (better != null) {
+            best = better;
+            better = betterModel(figure, best, results);
         }
-        double quadraticPress = quadratic == null ? Double.NaN : quadratic.press();
-        return new FigureFit(figure, chosen, best, results.size(), linear.press(), quadraticPress);
+        double quadraticPress = quadratic == null ? Double.NaN : quadratic.fit().press();
+        return new FigureFit(
+                figure,
+                best.dimensions(),
+                best.fit(),
+                results.size(),
+                linear.fit().press(),
+                quadraticPress);
     }
 
-    private static boolean worthATerm(LeastSquares extended, LeastSquares best, int column) {
-        return extended.certain(column) && extended.press() < MARKED * best.press();
+    /** The model with the one further term that explains most, or null where none is worth it. */
+    private static Model betterModel(String figure, Model best, List<Result> results) {
+        Model better = null;
+        if (best.fit().exact()) {
+            return null;
+        }
+        for (Dimension candidate : Dimension.values()) {
+            if (best.dimensions().contains(candidate) || !varies(candidate, results)) {
+                continue;
+            }
+            List<Dimension> longer = new ArrayList<>(best.dimensions());
+            longer.add(candidate);
+            Model extended = model(figure, longer, results);
+            boolean worthATerm = extended != null
+                    && extended.fit().certain(longer.size() - 1)
+                    && extended.fit().press() < MARKED * best.fit().press();
+            if (worthATerm
+                    && (better == null || extended.fit().press() < better.fit().press())) {
+                better = extended;
+            }
+        }
+        return better;
     }
 
-    private static List<Dimension> with(List<Dimension> chosen, Dimension next) {
-        List<Dimension> longer = new ArrayList<>(chosen);
-        longer.add(next);
-        return longer;
+    /** Whether the runs were meant to differ in a dimension: measured rates differ a little in any case. */
+    private static boolean varies(Dimension dimension, List<Result> results) {
+        double least = results.stream()
+                .mapToDouble(result -> result.size(dimension))
+                .min()
+                .orElse(0);
+        double most = results.stream()
+                .mapToDouble(result -> result.size(dimension))
+                .max()
+                .orElse(0);
+        return most > MEANT * least;
     }
 
-    private static LeastSquares regression(String figure, List<Dimension> dimensions, List<Result> results) {
+    private static Model model(String figure, List<Dimension> dimensions, List<Result> results) {
         double[][] predictors = new double[results.size()][];
         double[] values = new double[results.size()];
         for (int i = 0; i < values.length; i++) {
             predictors[i] = FigureFit.row(dimensions, results.get(i));
             values[i] = results.get(i).figure(figure);
         }
-        return LeastSquares.fit(predictors, values);
+        LeastSquares fit = LeastSquares.fit(predictors, values);
+        return fit == null ? null : new Model(dimensions, fit);
     }
 }
