--- a/scale/src/main/java/baymoor/scale/fit/BenchmarkFit.java
+++ b/scale/src/main/java/baymoor/scale/fit/BenchmarkFit.java
@@ -12,6 +12,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import org.apache.commons.math3.stat.StatUtils;
 import org.apache.commons.math3.stat.correlation.PearsonsCorrelation;
 
 /**
@@ -24,6 +25,8 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String ALLOCATED = "gc.alloc.rate.norm";
     private static final int SIZE_PARTS = 3;
+    /** The most of a term against its least from which on a slope by it means something. */
+    private static final double MEANT = 1.5;
     /** The correlation of two terms above which the sizes don't tell their slopes apart. */
     private static final double INSEPARABLE = 0.99;
 
@@ -120,7 +123,7 @@
         for (Term term : Term.values()) {
             List<Term> longer = new ArrayList<>(terms);
             longer.add(term);
-            LeastSquares extended = goesAlong(term, terms, samples) ? null : fit(longer, samples);
+            LeastSquares extended = separable(term, terms, samples) ? fit(longer, samples) : null;
             if (extended != null) {
                 terms = longer;
                 fit = extended;
@@ -131,10 +134,15 @@
         }
     }
 
-    private static boolean goesAlong(Term term, List<Term> others, List<Sample> samples) {
-        PearsonsCorrelation correlation = new PearsonsCorrelation();
+    /** Whether the samples tell what a term does from what others do. */
+    private static boolean separable(Term term, List<Term> others, List<Sample> samples) {
         double[] column = column(term, samples);
-        return others.stream().anyMatch(other -> correlation.correlation(column, column(other, samples)) > INSEPARABLE);
+        if (StatUtils.max(column) < MEANT * StatUtils.min(column)) {
+            return false;
+        }
+        PearsonsCorrelation correlation = new PearsonsCorrelation();
+        return others.stream()
+                .noneMatch(other -> correlation.correlation(column, column(other, samples)) > INSEPARABLE);
     }
 
     private static double[] column(Term term, List<Sample> samples) {
