--- a/cli/src/test/java/baymoor/cli/ScaleFitTest.java
+++ b/cli/src/test/java/baymoor/cli/ScaleFitTest.java
@@ -60,14 +60,48 @@
         assertEquals(2, fit(first, run(40), run(80), "--within", "much"));
     }
 
+    @Test
+    public void benchmarksAreFitted() throws IOException {
+        String results = "docs/studies/scale/decisions-jmh.json";
+        String json = folder.getRoot().toPath().resolve("slopes.json").toString();
+        assertEquals(0, scale("fit-benchmarks", results, "--json", json));
+        assertTrue(out.toString(), out.toString().contains("tick micros | "));
+        assertEquals(
+                "the slopes on the page are those of the results beside them",
+                Files.readString(Path.of("docs/studies/scale/decisions-fit.json")),
+                Files.readString(Path.of(json)));
+    }
+
+    @Test
+    public void whatHoldsNoBenchmarksIsUsage() throws IOException {
+        assertEquals(2, scale("fit-benchmarks"));
+        assertEquals(2, scale("fit-benchmarks", "absent.json"));
+        String run = run(20);
+        assertEquals(2, scale("fit-benchmarks", run));
+        assertTrue(err.toString(), err.toString().endsWith(run + ": no JSON array of benchmarks\n"));
+    }
+
+    @Test
+    public void bothCommandsHaveHelp() {
+        assertEquals(0, scale("fit", "--help"));
+        assertEquals(0, scale("fit-benchmarks", "--help"));
+        assertTrue(out.toString(), out.toString().contains("Usage: baymoor scale fit-benchmarks"));
+    }
+
     private int fit(String... arguments) {
+        String[] words = new String[arguments.length + 1];
+        words[0] = "fit";
+        System.arraycopy(arguments, 0, words, 1, arguments.length);
+        return scale(words);
+    }
+
+    private int scale(String... arguments) {
         CommandLine line = Main.commandLine();
         line.setOut(new PrintWriter(out, true));
         line.setErr(new PrintWriter(err, true));
-        String[] all = new String[arguments.length + 2];
+        String[] all = new String[arguments.length + 1];
         all[0] = "scale";
-        all[1] = "fit";
-        System.arraycopy(arguments, 0, all, 2, arguments.length);
+        System.arraycopy(arguments, 0, all, 1, arguments.length);
         return line.execute(all);
     }
 
