--- a/scale/src/main/java/baymoor/scale/hollow/Assignment.java
+++ b/scale/src/main/java/baymoor/scale/hollow/Assignment.java
@@ -9,15 +9,16 @@
  * @param numbers      of the balancers in this process
  * @param balancers    of the whole tier
  * @param addresses    at which each balancer of the tier receives, by number, in figures with a port
+ * @param slowdown     real seconds to a second of the run
  * @param perLoop      balancers to a decision thread
  * @param zones        zone of each balancer of the tier, by number
  * @param sites        site of each balancer of the tier, by number
  * @param regions      region of each zone
- * @param originKind   list type that marks the origin
  */
 public record Assignment(
         String folder,
         long seed,
+        int slowdown,
         List<Integer> numbers,
         int balancers,
         int real,
@@ -33,15 +34,18 @@
     public record Ways(
             List<Long> sameSite, List<Long> sameZone, List<Long> sameRegion, List<Long> betweenRegions, double loss) {}
 
-    /** What is drawn in place of clients and hosts. */
+    /**
+     * What is drawn in place of clients and hosts.
+     *
+     * @param requestsPerSecond at each balancer, by zone
+     */
     public record Drawn(
-            double requestsPerSecond,
+            List<Double> requestsPerSecond,
             int keys,
             double exponent,
             int valueBytes,
             List<Long> routerMicros,
             double miss,
-            double originCapacity,
             List<Long> originMicros,
             List<RequestKind> kinds,
             String tenant) {}
--- a/scale/src/main/java/baymoor/scale/hollow/HollowBalancer.java
+++ b/scale/src/main/java/baymoor/scale/hollow/HollowBalancer.java
@@ -10,6 +10,11 @@
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
 import baymoor.link.Time;
+import baymoor.scale.loop.DecisionLoop;
+import baymoor.scale.loop.PeerSocket;
+import baymoor.scale.loop.RunClock;
+import baymoor.scale.loop.StreamLink;
+import baymoor.scale.loop.Work;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -31,6 +36,7 @@
     /** What the balancers of one process have in common. */
     record Surroundings(
             Assignment assignment,
+            RunClock clock,
             PlaceNetwork network,
             List<InetSocketAddress> addresses,
             Map<InetSocketAddress, Integer> numbers,
@@ -173,7 +179,7 @@
             long held = parts.listVersion();
             if (held != version) {
                 version = held;
-                known.add(new Known(held, System.nanoTime() / 1000));
+                known.add(new Known(held, around.clock().micros()));
             }
         }
 
@@ -183,7 +189,7 @@
             }
             Integer sender = around.numbers().get(from);
             if (sender != null) {
-                traffic.heard(sender, content.length, System.nanoTime() / 1000);
+                traffic.heard(sender, content.length, around.clock().micros());
             }
             parts.heard(from, content);
             noteVersion();
@@ -194,7 +200,7 @@
             if (receiver == null) {
                 return;
             }
-            traffic.told(receiver, content.length, System.nanoTime() / 1000);
+            traffic.told(receiver, content.length, around.clock().micros());
             if (around.network().plain()) {
                 socket.send(to, content);
                 return;
--- a/scale/src/main/java/baymoor/scale/run/Figures.java
+++ b/scale/src/main/java/baymoor/scale/run/Figures.java
@@ -55,20 +55,54 @@
         return after.stream().mapToDouble(field).max().orElse(0);
     }
 
-    /** Of the processes' time, the part of one kind of work, in seconds a second and balancer. */
-    private double cpu(ToLongFunction<Totals> kind) {
+    /**
+     * Processor time to the time that decision threads spent on their events: more, as a process does other things too, and less,
+     * as a busy machine keeps threads waiting in the midst of an event.
+     */
+    private double cpuPart() {
         double all = grown(Totals::controlNanos) + grown(Totals::servingNanos) + grown(Totals::toolNanos);
-        return all == 0 ? 0 : rate(Totals::processCpuNanos) / 1e9 * grown(kind) / all;
+        return all == 0 ? 0 : grown(Totals::processCpuNanos) / all;
+    }
+
+    /** The processor time of one kind of work, in seconds a second and balancer. */
+    private double cpu(ToLongFunction<Totals> kind) {
+        return rate(kind) / 1e9 * cpuPart();
     }
 
     /** The mean of a percentile over the processes, which have as many balancers each but for the last. */
-    private double mean(ToDoubleFunction<Totals> field) {
+    double mean(ToDoubleFunction<Totals> field) {
         return after.stream()
                         .mapToDouble(t -> field.applyAsDouble(t) * t.balancers())
                         .sum()
                 / balancers;
     }
 
+    boolean hasBalancers() {
+        return balancers > 0;
+    }
+
+    /** Processor seconds that serving a request costs. */
+    double servingPerRequest() {
+        double requests = rate(Totals::requests);
+        return requests == 0 ? 0 : cpu(Totals::servingNanos) / requests;
+    }
+
+    /** Bytes of the mean datagram that hollow balancers send. */
+    double meanMessageBytes() {
+        return grown(Totals::bytesOut) / Math.max(1, grown(Totals::messagesOut));
+    }
+
+    /** Bytes of the mean datagram of a real balancer, as the hollow ones heard it. */
+    double meanRealMessageBytes(int real) {
+        double bytes = grown(totals -> totals.realBytes().get(real));
+        return bytes / Math.max(1, grown(totals -> totals.realMessages().get(real)));
+    }
+
+    /** Bytes a second of the headers on the way from discovery, or back. */
+    double discoveryHeaderBytes() {
+        return hasBalancers() ? rate(Totals::discoveryReads) * SEGMENT_HEADER_BYTES : 0;
+    }
+
     double latenessP99Millis() {
         return most(Totals::latenessP99Millis);
     }
@@ -82,22 +116,19 @@
     Map<String, Double> hollow() {
         Map<String, Double> figures = new LinkedHashMap<>();
         double discovery = rate(Totals::discoveryBytesIn);
-        double reads = rate(Totals::discoveryReads);
         figures.put("bytesInPerSecond", rate(Totals::bytesIn) + discovery);
         figures.put("bytesOutPerSecond", rate(Totals::bytesOut) + rate(Totals::discoveryBytesOut));
         figures.put(
-                "headerBytesInPerSecond",
-                rate(Totals::messagesIn) * DATAGRAM_HEADER_BYTES + reads * SEGMENT_HEADER_BYTES);
+                "headerBytesInPerSecond", rate(Totals::messagesIn) * DATAGRAM_HEADER_BYTES + discoveryHeaderBytes());
         figures.put(
-                "headerBytesOutPerSecond",
-                rate(Totals::messagesOut) * DATAGRAM_HEADER_BYTES + reads * SEGMENT_HEADER_BYTES);
+                "headerBytesOutPerSecond", rate(Totals::messagesOut) * DATAGRAM_HEADER_BYTES + discoveryHeaderBytes());
         figures.put("messagesInPerSecond", rate(Totals::messagesIn));
         figures.put("messagesOutPerSecond", rate(Totals::messagesOut));
         figures.put("discoveryBytesInPerSecond", discovery);
         figures.put("cpuControlSecondsPerSecond", cpu(Totals::controlNanos));
         figures.put("cpuServingSecondsPerSecond", cpu(Totals::servingNanos));
         figures.put("memoryBytes", sum(settled, Totals::heapBytes) / balancers);
-        figures.put("tickMicros", grown(Totals::tickNanos) / 1e3 / Math.max(1, grown(Totals::ticks)));
+        figures.put("tickMicros", grown(Totals::tickNanos) / 1e3 / Math.max(1, grown(Totals::ticks)) * cpuPart());
         figures.put("ageP50Ms", mean(Totals::ageP50Millis));
         figures.put("ageP99Ms", mean(Totals::ageP99Millis));
         return figures;
