SIGHUP ignored by the parent: the configuration file is looked at instead

At fault: Hangup.handle passed over what Signal.handle gives back, so that nobody was told either.

Change: Hangup.handle says whether the signal can come. Where it can't, the log says so once, and the file is looked at twice a second and read again once a change has stayed for a look. Nothing changes where SIGHUP arrives.

--- a/balancer/src/main/java/baymoor/config/Config.java
+++ b/balancer/src/main/java/baymoor/config/Config.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import merlinstep.Decisions;
 import merlinstep.Decisions.Effect;
@@ -50,6 +51,15 @@
 
     private Config() {}
 
+    /** The file that {@code ROUTER_CONFIG} names, if it names one. */
+    public static Optional<Path> file(Map<String, String> environment) {
+        try {
+            return Optional.ofNullable(environment.get("ROUTER_CONFIG")).map(Path::of);
+        } catch (InvalidPathException e) {
+            return Optional.empty(); // reading it says so
+        }
+    }
+
     /** Reads the file that {@code ROUTER_CONFIG} names; the other variables fill in what it leaves out. */
     public static Settings read(Map<String, String> environment) throws BadConfig {
         String file = environment.get("ROUTER_CONFIG");
--- a/balancer/src/main/java/baymoor/serve/Hangup.java
+++ b/balancer/src/main/java/baymoor/serve/Hangup.java
@@ -10,8 +10,12 @@
 
     private Hangup() {}
 
-    /** Runs a task, on a thread of the JVM's, each time the signal comes. */
-    static void handle(Runnable task) throws ReflectiveOperationException {
+    /**
+     * Runs a task, on a thread of the JVM's, each time the signal comes.
+     *
+     * @return false if it never comes: the process was started with the signal ignored, and the JVM leaves that so
+     */
+    static boolean handle(Runnable task) throws ReflectiveOperationException {
         Class<?> signal = Class.forName("sun.misc.Signal");
         Class<?> handler = Class.forName("sun.misc.SignalHandler");
         Object calls = Proxy.newProxyInstance(
@@ -22,6 +26,7 @@
                     return null;
                 });
         Object hangup = signal.getConstructor(String.class).newInstance("HUP");
-        signal.getMethod("handle", signal, handler).invoke(null, hangup, calls);
+        Object before = signal.getMethod("handle", signal, handler).invoke(null, hangup, calls);
+        return before != handler.getField("SIG_IGN").get(null);
     }
 }
--- a/balancer/src/main/java/baymoor/serve/Main.java
+++ b/balancer/src/main/java/baymoor/serve/Main.java
@@ -30,7 +30,10 @@
         Reloads reloads = new Reloads();
         try {
             // First of all, since SIGHUP ends a JVM that does not handle it, and may come while this one starts.
-            Hangup.handle(reloads::asked);
+            boolean reachable = Hangup.handle(reloads::asked);
+            ConfigFile file = reachable
+                    ? null
+                    : Config.file(System.getenv()).map(ConfigFile::new).orElse(null);
             Settings settings = Config.read(System.getenv());
             Log log = Log.ofEnvironment(System.getenv(), settings.name());
             Balancer balancer = new Balancer(settings, log);
@@ -44,6 +47,10 @@
             if (atTheEnd(balancer::drain)) {
                 balancer.start();
                 reloads.serving(balancer, log);
+                if (file != null) {
+                    log.accept("config: SIGHUP is ignored in this process, the file is looked at instead");
+                    file.watch(reloads::asked);
+                }
             }
         } catch (BadConfig e) {
             System.err.println(e.getMessage());
--- a/balancer/src/test/java/baymoor/ProgramIT.java
+++ b/balancer/src/test/java/baymoor/ProgramIT.java
@@ -3,6 +3,7 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertNotEquals;
+import static org.junit.Assert.assertNotNull;
 import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
@@ -185,6 +186,20 @@
         }
     }
 
+    /** Seen: balancers started in the background by nohup never followed discovery, and sent on to routers that drained. */
+    @Test
+    public void whereItsParentIgnoresSighupItFollowsTheFileAllTheSame() throws Exception {
+        world.router("s-a", 0, words -> value("v"));
+        world.ignoringSighup().start();
+        assertTrue(world.watchedAt() > 0);
+        assertNotNull(world.said("SIGHUP is ignored"));
+        world.reload("{\"name\":");
+        assertNotNull(world.said("the old configuration stays"));
+        String moved = world.config();
+        world.reload(moved);
+        assertTrue(moved.contains("\"discovery\":\"127.0.0.1:" + world.watchedAt() + "\""));
+    }
+
     @Test
     public void whereListsArePushedADrainThatTheAgentTellsOfEndsWhatIsSentThere() throws Exception {
         World.Server leaving = world.router("s-a", 0, words -> value("old"));
--- a/balancer/src/test/java/baymoor/World.java
+++ b/balancer/src/test/java/baymoor/World.java
@@ -41,6 +41,7 @@
     private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
     private volatile boolean scripted;
     private boolean pushed;
+    private boolean ignoresSighup;
     private final Map<String, String> replaced = new LinkedHashMap<>();
     private Process process;
     private BufferedReader errors;
@@ -285,6 +286,12 @@
         return this;
     }
 
+    /** From now on programs are started as nohup would: with SIGHUP ignored. */
+    World ignoringSighup() {
+        ignoresSighup = true;
+        return this;
+    }
+
     /** From now on configurations say that lists are pushed: the discovery is the agent of this machine. */
     World pushed() {
         pushed = true;
@@ -336,7 +343,8 @@
         Path made = file;
         open.add(() -> Files.deleteIfExists(made));
         Files.writeString(file, config);
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", deployed("run"));
+        String signals = ignoresSighup ? "trap '' HUP; " : "";
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", signals + deployed("run"));
         builder.environment().put("ROUTER_CONFIG", file.toString());
         process = builder.redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
         errors = new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8));
