--- a/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
+++ b/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
@@ -6,9 +6,9 @@
 import baymoor.inventory.Discovery;
 import baymoor.link.Time;
 import baymoor.north.Answer;
-import baymoor.north.Intake;
+import baymoor.north.ClientRequest;
 import baymoor.north.North;
-import baymoor.north.Taken;
+import baymoor.north.RequestHandler;
 import baymoor.peers.Peers;
 import baymoor.south.Reply;
 import baymoor.south.RequestContent;
@@ -44,24 +44,24 @@
 import merlinstep.Decisions.WatchServers;
 
 /** Stands between the decisions and all else: hands them every event and carries out what they order, in order. */
-public final class Dispatcher implements Intake, South.Listener, Decisions.Sink {
+public final class Dispatcher implements RequestHandler, South.Listener, Decisions.Sink {
 
     /** Where the decisions fail on a timer, it comes again after this long, or their clockwork would stand still. */
     private static final long TIMER_AGAIN_MICROS = 50_000;
 
     /** A request that the decisions know of, or one of whose attempts is still out. */
-    private static final class Open {
+    private static final class OpenRequest {
         final long ticket;
-        final Taken taken;
+        final ClientRequest request;
         int attempts;
         int out;
         boolean done;
         /** When the first attempt that may have run was ordered. */
         long ranMicros = Long.MAX_VALUE;
 
-        Open(long ticket, Taken taken) {
+        OpenRequest(long ticket, ClientRequest request) {
             this.ticket = ticket;
-            this.taken = taken;
+            this.request = request;
         }
     }
 
@@ -71,7 +71,7 @@
     private final Time time;
     private final Counters counters;
     private final Consumer<String> log;
-    private final Map<String, Open> requests = new HashMap<>();
+    private final Map<String, OpenRequest> requests = new HashMap<>();
     private final Set<String> ids = new HashSet<>();
     private final Set<Long> timersSet = new HashSet<>();
     private North north;
@@ -103,21 +103,21 @@
     }
 
     @Override
-    public void taken(long ticket, Taken t) {
+    public void taken(long ticket, ClientRequest request) {
         String id = Long.toString(ticket);
-        requests.put(id, new Open(ticket, t));
-        ids.add(t.id());
+        requests.put(id, new OpenRequest(ticket, request));
+        ids.add(request.id());
         deliver(new Request(
                 id,
-                t.requestClass(),
-                t.tenant(),
+                request.requestClass(),
+                request.tenant(),
                 true,
-                key(t.key()),
-                t.deadlineMicros(),
-                t.workMicros(),
-                t.size(),
-                t.retry(),
-                t.write()));
+                key(request.key()),
+                request.deadlineMicros(),
+                request.workMicros(),
+                request.size(),
+                request.retry(),
+                request.write()));
     }
 
     /** A key of up to 16 hex digits is the number it writes; any other one is hashed. */
@@ -143,43 +143,43 @@
 
     @Override
     public void gone(long ticket) {
-        Open r = requests.get(Long.toString(ticket));
-        if (r != null && !r.done) {
-            for (int attempt = 0; attempt < r.attempts; attempt++) {
+        OpenRequest open = requests.get(Long.toString(ticket));
+        if (open != null && !open.done) {
+            for (int attempt = 0; attempt < open.attempts; attempt++) {
                 south.withdraw(Long.toString(ticket), attempt);
             }
-            finish(r);
+            finish(open);
             deliver(new RequestGone(Long.toString(ticket)));
         }
     }
 
-    private void finish(Open r) {
-        r.done = true;
-        if (r.out == 0) {
-            requests.remove(Long.toString(r.ticket));
-            ids.remove(r.taken.id());
+    private void finish(OpenRequest open) {
+        open.done = true;
+        if (open.out == 0) {
+            requests.remove(Long.toString(open.ticket));
+            ids.remove(open.request.id());
         }
     }
 
     @Override
     public void attemptEnded(String request, int attempt, long host, Reply reply, long latencyMicros) {
-        Open r = requests.get(request);
-        if (!Invariant.check(r != null && r.out > 0, "an attempt ends once, before its request is forgotten")) {
+        OpenRequest open = requests.get(request);
+        if (!Invariant.check(open != null && open.out > 0, "an attempt ends once, before its request is forgotten")) {
             return;
         }
-        r.out--;
+        open.out--;
         if (!reply.outcome().provesNothingRan()) {
-            r.ranMicros = Math.min(r.ranMicros, time.now() - latencyMicros);
+            open.ranMicros = Math.min(open.ranMicros, time.now() - latencyMicros);
         }
-        if (!r.done && reply.outcome() == Outcome.SERVED) {
-            north.answer(r.ticket, new Answer.Served(reply.value()));
-            r.done = true;
+        if (!open.done && reply.outcome() == Outcome.SERVED) {
+            north.answer(open.ticket, new Answer.Served(reply.value()));
+            open.done = true;
         }
-        if (r.done) {
-            finish(r);
+        if (open.done) {
+            finish(open);
         }
         deliver(new AttemptEnded(
-                request, attempt, host, reply.outcome(), latencyMicros, r.done, reply.note(), reply.report()));
+                request, attempt, host, reply.outcome(), latencyMicros, open.done, reply.note(), reply.report()));
     }
 
     @Override
@@ -226,8 +226,8 @@
     }
 
     private void abandon(String id) {
-        Open r = requests.get(id);
-        if (r != null && !r.done && r.out == 0) {
+        OpenRequest open = requests.get(id);
+        if (open != null && !open.done && open.out == 0) {
             accept(new Fail(id));
             time.after(0, () -> deliver(new RequestGone(id)));
         }
@@ -262,56 +262,56 @@
     }
 
     private void send(Send a) {
-        Open r = requests.get(a.request());
-        if (r == null) {
+        OpenRequest open = requests.get(a.request());
+        if (open == null) {
             counters.add(Count.ACTIONS_IGNORED);
             return;
         }
         long now = time.now();
-        boolean alone =
-                limits.secondCopies() || Invariant.check(r.out == 0, "no two attempts of one request are out together");
-        int attempt = r.attempts++;
-        r.out++;
-        if (r.done || !alone || attempt >= limits.maxAttempts() || now >= r.taken.deadlineMicros()) {
+        boolean alone = limits.secondCopies()
+                || Invariant.check(open.out == 0, "no two attempts of one request are out together");
+        int attempt = open.attempts++;
+        open.out++;
+        if (open.done || !alone || attempt >= limits.maxAttempts() || now >= open.request.deadlineMicros()) {
             Reply unsent = new Reply(Outcome.NOT_SENT, null, 0, new double[0], false);
             time.after(0, () -> attemptEnded(a.request(), attempt, a.server(), unsent, 0));
             return;
         }
-        long most = r.taken.deadlineMicros() - now;
+        long most = open.request.deadlineMicros() - now;
         long wait = a.timeoutMicros() == 0 ? most : Math.max(0, Math.min(most, a.timeoutMicros()));
-        Taken t = r.taken;
+        ClientRequest request = open.request;
         south.send(
                 a.request(),
                 attempt,
                 a.server(),
-                new RequestContent(t.key(), t.id(), t.facts(), t.value()),
+                new RequestContent(request.key(), request.id(), request.facts(), request.value()),
                 now + wait,
-                () -> mayBegin(r));
+                () -> mayBegin(open));
     }
 
     /**
      * Whether an attempt may still begin, asked as its bytes are about to leave. Danger: between the order and that moment,
      * while it waits for a connection, its client may leave, or the time end for which a repeat does no harm.
      */
-    private boolean mayBegin(Open r) {
-        RequestClass kind = classes.get(r.taken.requestClass());
-        boolean ran = r.ranMicros != Long.MAX_VALUE;
+    private boolean mayBegin(OpenRequest open) {
+        RequestClass kind = classes.get(open.request.requestClass());
+        boolean ran = open.ranMicros != Long.MAX_VALUE;
         boolean harmless = !ran
                 || kind != null
                         && switch (kind.effect()) {
                             case SAFE -> true;
-                            case KEYED -> time.now() < r.ranMicros + kind.windowMicros();
+                            case KEYED -> time.now() < open.ranMicros + kind.windowMicros();
                             case UNSAFE -> false;
                         };
-        return harmless && !r.done && north.waits(r.ticket);
+        return harmless && !open.done && north.waits(open.ticket);
     }
 
     private void end(String id, Answer answer) {
-        Open r = requests.get(id);
-        if (r == null || r.done || !north.answer(r.ticket, answer)) {
+        OpenRequest open = requests.get(id);
+        if (open == null || open.done || !north.answer(open.ticket, answer)) {
             counters.add(Count.ACTIONS_IGNORED);
             return;
         }
-        finish(r);
+        finish(open);
     }
 }
--- a/balancer/src/main/java/baymoor/north/Taken.java
+++ b/balancer/src/main/java/baymoor/north/ClientRequest.java
@@ -6,7 +6,7 @@
  * A client's request as it was taken, whatever protocol it came by. {@code value} is null for a read;
  * {@code facts} are all names and values in the order in which they came.
  */
-public record Taken(
+public record ClientRequest(
         String id,
         String key,
         String requestClass,
--- a/balancer/src/main/java/baymoor/north/Facts.java
+++ b/balancer/src/main/java/baymoor/north/Facts.java
@@ -29,7 +29,8 @@
 
     private Facts() {}
 
-    static Taken read(byte[] key, byte[] id, byte[] list, byte[] value, Set<String> classes, long now) throws Refused {
+    static ClientRequest read(byte[] key, byte[] id, byte[] list, byte[] value, Set<String> classes, long now)
+            throws Refused {
         Map<String, String> facts = facts(list);
         String requestClass = facts.get("c");
         if (requestClass == null || !classes.contains(requestClass)) {
@@ -40,7 +41,7 @@
             throw new Refused("d is missing or out of range");
         }
         double hint = number(facts, "h", 0);
-        return new Taken(
+        return new ClientRequest(
                 word(id, "id"),
                 word(key, "key"),
                 requestClass,
--- a/balancer/src/main/java/baymoor/north/North.java
+++ b/balancer/src/main/java/baymoor/north/North.java
@@ -36,12 +36,12 @@
     final Counters counters;
     final Set<String> classes;
     final Supplier<String> report;
-    private final Intake intake;
+    private final RequestHandler requestHandler;
     private final int mostClients;
     private final int mostOwed;
     private final long mostValueBytes;
     private long valueBytes;
-    private final Map<Long, Owed> owed = new HashMap<>();
+    private final Map<Long, PendingAnswer> owed = new HashMap<>();
     private final Set<RespClient> clients = new LinkedHashSet<>();
     /** Those that were told to make room and whose end is not through. */
     private final Set<RespClient> evicted = new LinkedHashSet<>();
@@ -62,7 +62,7 @@
             Time time,
             Counters counters,
             Set<String> classes,
-            Intake intake,
+            RequestHandler requestHandler,
             int mostClients,
             int mostOwed,
             long mostValueBytes,
@@ -70,7 +70,7 @@
         this.time = time;
         this.counters = counters;
         this.classes = Set.copyOf(classes);
-        this.intake = intake;
+        this.requestHandler = requestHandler;
         this.mostClients = mostClients;
         this.mostOwed = mostOwed;
         this.mostValueBytes = mostValueBytes;
@@ -91,7 +91,7 @@
     }
 
     /** What is owed to one command of a client, in whose order the answers go out. */
-    static final class Owed {
+    static final class PendingAnswer {
         final RespClient client;
         final long ticket;
         final int bytes;
@@ -100,7 +100,7 @@
         /** How many commands in a row it answers. */
         int times = 1;
 
-        Owed(RespClient client, long ticket, int bytes) {
+        PendingAnswer(RespClient client, long ticket, int bytes) {
             this.client = client;
             this.ticket = ticket;
             this.bytes = bytes;
@@ -177,14 +177,14 @@
 
     /** Whether a request with this id is still open, or one of its attempts out. */
     boolean open(String id) {
-        return intake.open(id);
+        return requestHandler.open(id);
     }
 
     /**
      * Whether a request is to be turned away before the decisions see it: a crowd of requests, or of large values,
      * must not take more memory than there is.
      */
-    boolean full(Taken request) {
+    boolean full(ClientRequest request) {
         boolean full = owed.size() >= mostOwed || valueBytes + length(request) > mostValueBytes;
         if (full) {
             counters.add(Count.TURNED_AWAY);
@@ -192,7 +192,7 @@
         return full;
     }
 
-    private static int length(Taken request) {
+    private static int length(ClientRequest request) {
         return request.write() ? request.value().length : 0;
     }
 
@@ -203,66 +203,66 @@
         }
     }
 
-    Owed take(RespClient client, Taken request) {
+    PendingAnswer take(RespClient client, ClientRequest request) {
         counters.add(Count.REQUESTS);
-        Owed o = new Owed(client, ++tickets, length(request));
-        valueBytes += o.bytes;
-        owed.put(o.ticket, o);
+        PendingAnswer pending = new PendingAnswer(client, ++tickets, length(request));
+        valueBytes += pending.bytes;
+        owed.put(pending.ticket, pending);
         long wait = request.deadlineMicros() + OVERDUE_MICROS - time.now();
-        o.overdue = time.after(Math.max(0, wait), () -> overdue(o));
-        return o;
+        pending.overdue = time.after(Math.max(0, wait), () -> overdue(pending));
+        return pending;
     }
 
-    void hand(Owed o, Taken request) {
-        intake.taken(o.ticket, request);
+    void hand(PendingAnswer pending, ClientRequest request) {
+        requestHandler.taken(pending.ticket, request);
     }
 
-    private void overdue(Owed o) {
-        if (owed.containsKey(o.ticket)) {
+    private void overdue(PendingAnswer pending) {
+        if (owed.containsKey(pending.ticket)) {
             counters.add(Count.OVERDUE);
-            answer(o.ticket, new Answer.Failed());
-            intake.gone(o.ticket);
+            answer(pending.ticket, new Answer.Failed());
+            requestHandler.gone(pending.ticket);
         }
     }
 
     /** Whether an answer is owed to a client that is still there, as far as its connection knows. */
     public boolean waits(long ticket) {
-        Owed o = owed.get(ticket);
-        return o != null && o.client.there();
+        PendingAnswer pending = owed.get(ticket);
+        return pending != null && pending.client.there();
     }
 
     /** Gives the final answer; false if none is owed any more. */
     public boolean answer(long ticket, Answer answer) {
-        Owed o = owed.remove(ticket);
-        if (o == null) {
+        PendingAnswer pending = owed.remove(ticket);
+        if (pending == null) {
             return false;
         }
-        valueBytes -= o.bytes;
-        o.overdue.cancel();
+        valueBytes -= pending.bytes;
+        pending.overdue.cancel();
         counters.add(
                 answer instanceof Answer.Served
                         ? Count.SERVED
                         : answer instanceof Answer.BackOff ? Count.REFUSED : Count.FAILED);
-        o.client.answer(o, answer);
+        pending.client.answer(pending, answer);
         return true;
     }
 
-    void gone(RespClient client, Iterable<Owed> left) {
+    void gone(RespClient client, Iterable<PendingAnswer> left) {
         counters.add(Count.CLIENTS_CLOSED);
         clients.remove(client);
         evicted.remove(client);
         resting.remove(client);
-        List<Owed> open = new ArrayList<>();
-        for (Owed o : left) {
-            if (owed.remove(o.ticket) != null) {
-                valueBytes -= o.bytes;
-                o.overdue.cancel();
-                open.add(o);
+        List<PendingAnswer> open = new ArrayList<>();
+        for (PendingAnswer pending : left) {
+            if (owed.remove(pending.ticket) != null) {
+                valueBytes -= pending.bytes;
+                pending.overdue.cancel();
+                open.add(pending);
             }
         }
-        for (Owed o : open) {
+        for (PendingAnswer pending : open) {
             counters.add(Count.REQUESTS_GONE);
-            intake.gone(o.ticket);
+            requestHandler.gone(pending.ticket);
         }
     }
 
--- a/balancer/src/main/java/baymoor/north/RespClient.java
+++ b/balancer/src/main/java/baymoor/north/RespClient.java
@@ -3,7 +3,7 @@
 import baymoor.counters.Count;
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
-import baymoor.north.North.Owed;
+import baymoor.north.North.PendingAnswer;
 import baymoor.resp.Resp;
 import baymoor.resp.RespException;
 import baymoor.resp.RespReader;
@@ -48,7 +48,7 @@
     private final North north;
     private final Link link;
     private final RespReader reader = RespReader.ofCommands();
-    private final Deque<Owed> row = new ArrayDeque<>();
+    private final Deque<PendingAnswer> row = new ArrayDeque<>();
     private int unwritten;
     private boolean extra;
     /** Nothing more is read: it said what can't be read, or this side's end has gone out. */
@@ -271,7 +271,7 @@
             bad("wrong number of arguments");
             return;
         }
-        Taken request;
+        ClientRequest request;
         try {
             byte[] value = count == SET_WORDS ? words.get(4) : null;
             request = Facts.read(words.get(1), words.get(2), words.get(3), value, north.classes, cameMicros);
@@ -288,14 +288,14 @@
             turnAway();
             return;
         }
-        Owed owed = north.take(this, request);
-        row.addLast(owed);
-        north.hand(owed, request);
+        PendingAnswer pending = north.take(this, request);
+        row.addLast(pending);
+        north.hand(pending, request);
     }
 
     /** One more refusal; a row of them at the end is kept as one with its number, as a client may send on without end. */
     private void turnAway() {
-        Owed last = row.peekLast();
+        PendingAnswer last = row.peekLast();
         if (last != null && last.answer == TURNED_AWAY) {
             last.times++;
         } else {
@@ -304,14 +304,14 @@
     }
 
     private void atOnce(byte[] answer) {
-        Owed owed = new Owed(this, 0, 0);
-        owed.answer = answer;
-        row.addLast(owed);
+        PendingAnswer pending = new PendingAnswer(this, 0, 0);
+        pending.answer = answer;
+        row.addLast(pending);
         flush();
     }
 
-    void answer(Owed owed, Answer answer) {
-        owed.answer = answer instanceof Answer.Served served
+    void answer(PendingAnswer pending, Answer answer) {
+        pending.answer = answer instanceof Answer.Served served
                 ? RespWriter.bulk(served.value())
                 : answer instanceof Answer.BackOff wait
                         ? RespWriter.error(busy(wait.afterMicros()))
@@ -326,7 +326,7 @@
     private void flush() {
         while (!row.isEmpty() && row.peekFirst().answer != null && unwritten < MOST_OWED) {
             movedMicros = unwritten++ == 0 && !stopped ? north.time.now() : movedMicros;
-            Owed first = row.peekFirst();
+            PendingAnswer first = row.peekFirst();
             int together = Math.min(first.times, MOST_TOGETHER);
             first.times -= together;
             if (first.times == 0) {
--- a/balancer/src/test/java/baymoor/north/NorthTest.java
+++ b/balancer/src/test/java/baymoor/north/NorthTest.java
@@ -16,16 +16,16 @@
 public class NorthTest {
 
     private final ManualTime time = new ManualTime();
-    private final List<Taken> taken = new ArrayList<>();
+    private final List<ClientRequest> taken = new ArrayList<>();
     private final List<Long> gone = new ArrayList<>();
     private final FakeLink link = new FakeLink();
     private final North north = new North(
             time,
             new Counters(),
             Set.of("read"),
-            new Intake() {
+            new RequestHandler() {
                 @Override
-                public void taken(long ticket, Taken request) {
+                public void taken(long ticket, ClientRequest request) {
                     taken.add(request);
                 }
 
@@ -351,7 +351,7 @@
     @Test
     public void theDeadlineRunsFromTheClientsSending() {
         link.in(command("OBJ.SET", "0a", "i", "c=read,t=x,d=500,k=77,h=1200,size=9.5,r=1", "value"));
-        Taken t = taken.get(0);
+        ClientRequest t = taken.get(0);
         assertTrue(t.deadlineMicros() < time.now() + 500_000 && t.deadlineMicros() > time.now() + 490_000);
         assertTrue(t.write() && t.retry() && t.workMicros() == 1200 && t.size() == 9.5);
         assertEquals("77", t.facts().get("k"));
