--- a/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
+++ b/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import merlinstep.Decisions;
 import merlinstep.Decisions.Action;
@@ -78,6 +79,8 @@
     private South south;
     private Discovery discovery;
     private Peers peers;
+    /** Whether the list held may still be used. */
+    private BooleanSupplier listCurrent = () -> true;
 
     public Dispatcher(
             Decisions decisions,
@@ -102,11 +105,20 @@
         peers = others;
     }
 
+    /** Attempts begin only while this holds; requests are turned away at once meanwhile. */
+    public void beginOnlyWhile(BooleanSupplier condition) {
+        listCurrent = condition;
+    }
+
     @Override
     public void taken(long ticket, ClientRequest request) {
         String id = Long.toString(ticket);
         requests.put(id, new OpenRequest(ticket, request));
         ids.add(request.id());
+        if (!listCurrent.getAsBoolean()) {
+            end(id, new Answer.BackOff(0));
+            return;
+        }
         deliver(new Request(
                 id,
                 request.requestClass(),
@@ -272,6 +284,10 @@
                 || Invariant.check(open.out == 0, "no two attempts of one request are out together");
         int attempt = open.attempts++;
         open.out++;
+        if (open.out == 1 && !open.done && !listCurrent.getAsBoolean()) {
+            // Answered now: each further attempt would be turned away like this one.
+            end(a.request(), open.ranMicros == Long.MAX_VALUE ? new Answer.BackOff(0) : new Answer.Failed());
+        }
         if (open.done || !alone || attempt >= limits.maxAttempts() || now >= open.request.deadlineMicros()) {
             Reply unsent = new Reply(Outcome.NOT_SENT, null, 0, new double[0], false);
             time.after(0, () -> attemptEnded(a.request(), attempt, a.server(), unsent, 0));
@@ -303,7 +319,7 @@
                             case KEYED -> time.now() < open.ranMicros + kind.windowMicros();
                             case UNSAFE -> false;
                         };
-        return harmless && !open.done && north.waits(open.ticket);
+        return harmless && !open.done && north.waits(open.ticket) && listCurrent.getAsBoolean();
     }
 
     private void end(String id, Answer answer) {
--- a/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
+++ b/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
@@ -29,8 +29,11 @@
 public final class DiscoveryService {
 
     private static final int MOST_HISTORY = 1000;
-    /** What a watch that has fallen silent misses counts as told so long after it fell silent. */
-    private static final long SILENT_MICROS = 6_000_000;
+    /**
+     * A change counts as told so long after discovery had it and could be reached, whether it arrived or not; so does what a
+     * watch that has fallen silent misses, from when it fell silent.
+     */
+    private static final long TOLD_MICROS = 6_000_000;
 
     private static final byte[] NONE = new byte[0];
 
@@ -41,12 +44,23 @@
         long unixMillis(long micros);
     }
 
+    /** Hears how each call ended. */
+    @FunctionalInterface
+    interface Calls {
+        void ended(int balancer, String how);
+    }
+
+    static final String WATCHED = "list-watched";
+    static final String ANSWERED = "list-answered";
+    static final String TURNED_DOWN = "list-turned-down";
+
     private final Scenario.Discovery spec;
     private final Time time;
     private final UniformRandomProvider chance;
     private final Judge judge;
     private final Reach reach;
     private final IntToLongFunction cutSince;
+    private final Calls calls;
     /** What is listed, and the last change of each name by its version, those that ended among them. */
     private final Map<String, Entry> listed = new LinkedHashMap<>();
 
@@ -64,6 +78,15 @@
     private long busyUntil;
     private double slowness = 1;
     private boolean up = true;
+    private long upSince;
+    /** Balancers that have been started. */
+    private final Set<Integer> started = new LinkedHashSet<>();
+    /** Changes that count as told to all by now. */
+    private final Map<String, Entry> toldToAll = new LinkedHashMap<>();
+    /** The list as each balancer was last written it, where a new process starts with that. */
+    private final Map<Integer, Held> held = new LinkedHashMap<>();
+
+    private record Held(long index, Collection<Entry> entries) {}
 
     /** @param cutSince since when a balancer is cut off from the service, -1 if it is not */
     DiscoveryService(
@@ -72,7 +95,9 @@
             UniformRandomProvider chance,
             Judge judge,
             Reach reach,
-            IntToLongFunction cutSince) {
+            IntToLongFunction cutSince,
+            Calls calls) {
+        this.calls = calls;
         this.cutSince = cutSince;
         this.spec = spec;
         this.time = time;
@@ -114,6 +139,7 @@
 
     private void list(Entry entry) {
         index++;
+        toldToAll.remove(entry.name());
         Long before = changedLast.put(entry.name(), index);
         if (before != null) {
             history.remove(before);
@@ -129,6 +155,27 @@
         }
         watches.forEach(Watch::due);
         push();
+        if (!spec.pushed()) {
+            long shownAt = index;
+            time.after(TOLD_MICROS, () -> countAsTold(entry, shownAt));
+        }
+    }
+
+    /** A change is long enough ago, unless discovery could not be reached since. */
+    private void countAsTold(Entry entry, long shownAt) {
+        if (changedLast.get(entry.name()) != shownAt) {
+            return; // a later change of it has a time of its own
+        }
+        if (!up || time.now() - upSince < TOLD_MICROS) {
+            time.after(up ? upSince + TOLD_MICROS - time.now() : TOLD_MICROS, () -> countAsTold(entry, shownAt));
+            return;
+        }
+        toldToAll.put(entry.name(), entry);
+        for (int balancer : started) {
+            if (cutSince.applyAsLong(balancer) < 0) {
+                told(balancer, List.of(entry));
+            }
+        }
     }
 
     /** What changed after a version. */
@@ -157,6 +204,7 @@
 
     public void up() {
         up = true;
+        upSince = time.now();
         busyUntil = 0;
         push();
     }
@@ -217,18 +265,22 @@
     /** A balancer's process starts with the list as it is now; of what its forerunner was told it knows nothing. */
     void given(int balancer) {
         judge.started(balancer);
+        started.add(balancer);
         told(balancer, listedFor(balancer));
+        told(balancer, toldToAll.values());
     }
 
     /** The list as a balancer last held it: the agent's, where there is one. */
     Collection<Entry> listedFor(int balancer) {
         Agent agent = agents.get(balancer);
-        return agent == null ? listed() : agent.held();
+        Held last = held.get(balancer);
+        return agent != null ? agent.held() : last != null ? last.entries() : listed();
     }
 
     long indexFor(int balancer) {
         Agent agent = agents.get(balancer);
-        return agent == null ? index : agent.index();
+        Held last = held.get(balancer);
+        return agent != null ? agent.index() : last != null ? last.index() : index;
     }
 
     private void told(int balancer, Collection<Entry> entries) {
@@ -241,10 +293,13 @@
         long since = cutSince.applyAsLong(balancer);
         if (since < 0) {
             told(balancer, entries);
+            if (spec.startsAsHeld()) {
+                held.put(balancer, new Held(at, listed()));
+            }
         } else {
             // Seen: what was written into a connection that a cut had silenced counted as told, and the rule broke.
             time.after(
-                    Math.max(0, since + SILENT_MICROS - time.now()),
+                    Math.max(0, since + TOLD_MICROS - time.now()),
                     () -> told(
                             balancer,
                             entries.stream()
@@ -288,6 +343,13 @@
             }
         }
 
+        private void turnDown() {
+            if (!over) {
+                calls.ended(balancer, TURNED_DOWN);
+                end(503, "Service Unavailable");
+            }
+        }
+
         /** One after another: a call begins when those before it are done. */
         private void call(String target) {
             boolean watching = target.contains("watch=1");
@@ -299,12 +361,14 @@
             long cost = (long) ((spec.callMicros() + lines * spec.lineMicros()) * slowness);
             long start = Math.max(time.now(), busyUntil);
             if (start + cost - time.now() > spec.timeoutMicros()) {
-                time.after(spec.timeoutMicros(), () -> end(503, "Service Unavailable"));
+                busyUntil = start + (long) (spec.failedMicros() * slowness);
+                time.after(spec.atOnce() ? 0 : spec.timeoutMicros(), this::turnDown);
                 return;
             }
             busyUntil = start + cost;
             time.after(busyUntil - time.now(), () -> {
                 if (!over && up) {
+                    calls.ended(balancer, watching ? WATCHED : ANSWERED);
                     if (watching) {
                         watch(ListStream.from(target));
                     } else {
