--- a/cli/src/main/java/baymoor/cli/ScaleRunCommand.java
+++ b/cli/src/main/java/baymoor/cli/ScaleRunCommand.java
@@ -98,7 +98,10 @@
                 plan,
                 file.getFileName().toString(),
                 new ScaleRun.Options(
-                        folder, Home.root(), Home.run(), what -> progress.show(plan.name() + ": " + what)));
+                        folder,
+                        InstallDirectory.root(),
+                        InstallDirectory.run(),
+                        what -> progress.show(plan.name() + ": " + what)));
         progress.clear();
         print(result);
         if (keep == null) {
--- a/scale/src/main/java/baymoor/scale/hollow/HollowBalancer.java
+++ b/scale/src/main/java/baymoor/scale/hollow/HollowBalancer.java
@@ -69,6 +69,8 @@
         private final Assembly parts;
         private final List<StreamLink> streams = new ArrayList<>();
         private DrawnClients clients;
+        private boolean serves;
+        private boolean asked;
         private boolean alive = true;
         private long version;
 
@@ -86,7 +88,7 @@
                             MOST_VALUE_BYTES,
                             counters,
                             line -> {}));
-            parts.start(() -> {});
+            parts.start(this::serve);
             version = parts.listVersion();
             known.add(new Known(version, around.clock().micros(), true));
         }
@@ -218,9 +220,23 @@
             }
         }
 
+        /** Clients are taken from now on. */
+        private void serve() {
+            serves = true;
+            admit();
+        }
+
+        /** Its clients ask as soon as it takes them. */
         void ask() {
-            clients = new DrawnClients(loop, world, "h" + number + "-" + System.nanoTime(), parts::client);
-            clients.start();
+            asked = true;
+            admit();
+        }
+
+        private void admit() {
+            if (serves && asked && clients == null) {
+                clients = new DrawnClients(loop, world, "h" + number + "-" + System.nanoTime(), parts::client);
+                clients.start();
+            }
         }
 
         void end() {
--- a/scale/src/main/java/baymoor/scale/run/Scenarios.java
+++ b/scale/src/main/java/baymoor/scale/run/Scenarios.java
@@ -62,7 +62,7 @@
                 read.tenants(),
                 read.keys(),
                 read.figures(),
-                read.told(),
+                read.moduleSettings(),
                 read.script());
     }
 
