--- a/emulator/src/main/java/baymoor/emulator/scenario/Table.java
+++ b/emulator/src/main/java/baymoor/emulator/scenario/Table.java
@@ -35,10 +35,12 @@
         this.mistakes = mistakes;
     }
 
+    /** The line at which the table begins, 0 where there is none. */
     public int line() {
         return place == null ? 0 : place.line();
     }
 
+    /** Whether a field stands in the table. */
     public boolean has(String field) {
         asked.add(field);
         return table.contains(List.of(field));
@@ -49,6 +51,7 @@
         return table.get(List.of(field));
     }
 
+    /** Notes a mistake at a field. */
     public void mistake(String field, String what) {
         TomlPosition at = table.contains(List.of(field)) ? table.inputPositionOf(List.of(field)) : place;
         mistakes.add(new Mistake(at == null ? 0 : at.line(), at == null ? 0 : at.column(), path + field + " " + what));
@@ -83,6 +86,7 @@
         return all;
     }
 
+    /** A list of texts. */
     public List<String> texts(String field, List<String> absent) {
         Object value = get(field);
         if (value == null) {
@@ -103,6 +107,7 @@
         return all;
     }
 
+    /** A text; without {@code absent} it has to be there. */
     public String text(String field, String absent) {
         Object value = get(field);
         if (value == null || value instanceof String) {
@@ -115,6 +120,7 @@
         return absent;
     }
 
+    /** True or false. */
     public boolean flag(String field, boolean absent) {
         Object value = get(field);
         if (value != null && !(value instanceof Boolean)) {
@@ -199,10 +205,12 @@
         return time(field, 0);
     }
 
+    /** Bytes. */
     public long size(String field, long absent) {
         return Math.round(quantity(field, Kind.SIZE, absent));
     }
 
+    /** Events a second. */
     public double rate(String field, double absent) {
         return quantity(field, Kind.RATE, absent);
     }
@@ -212,6 +220,7 @@
         return within(field, quantity(field, Kind.SHARE, absent), 0, 1, absent);
     }
 
+    /** A list of shares of 1. */
     public List<Double> shares(String field, List<Double> absent) {
         Object value = get(field);
         if (value == null) {
--- a/scale/src/main/java/baymoor/scale/hollow/Command.java
+++ b/scale/src/main/java/baymoor/scale/hollow/Command.java
@@ -29,22 +29,27 @@
         QUIT
     }
 
+    /** An order that needs nothing else. */
     public static Command of(Order order) {
         return new Command(order, null, null, null, null, null);
     }
 
+    /** An order about some balancers. */
     public static Command on(Order order, List<Integer> numbers) {
         return new Command(order, numbers, null, null, null, null);
     }
 
+    /** An order with a figure. */
     public static Command value(Order order, double value) {
         return new Command(order, null, null, null, null, value);
     }
 
+    /** Keeps what one zone says from another, or lets it pass again. */
     public static Command cut(int from, int to, boolean on) {
         return new Command(Order.CUT, null, from, to, on, null);
     }
 
+    /** Asks for {@link Totals}. */
     public static Command sample(boolean collect) {
         return new Command(Order.SAMPLE, null, null, null, collect, null);
     }
--- a/scale/src/main/java/baymoor/scale/loop/DecisionLoop.java
+++ b/scale/src/main/java/baymoor/scale/loop/DecisionLoop.java
@@ -19,6 +19,7 @@
 
     /** What a socket does when its selector says that it can. */
     public interface Ready {
+        /** The selector has found a key ready. */
         void ready(SelectionKey key) throws IOException;
     }
 
@@ -78,6 +79,7 @@
         }
     }
 
+    /** Starts the thread. */
     public void start() {
         thread.start();
     }
@@ -92,10 +94,12 @@
         selector.wakeup();
     }
 
+    /** The run's clock, by which this one goes. */
     public RunClock clock() {
         return clock;
     }
 
+    /** Ends the thread after the present event. */
     public void stop() {
         stopped = true;
         selector.wakeup();
--- a/scale/src/main/java/baymoor/scale/loop/PeerSocket.java
+++ b/scale/src/main/java/baymoor/scale/loop/PeerSocket.java
@@ -73,6 +73,7 @@
         }
     }
 
+    /** Closes it; what is sent on it from then on is lost. */
     public void close() {
         try {
             channel.close();
--- a/scale/src/main/java/baymoor/scale/loop/RunClock.java
+++ b/scale/src/main/java/baymoor/scale/loop/RunClock.java
@@ -23,6 +23,7 @@
         return micros * slowdown;
     }
 
+    /** Real seconds to one of this clock's. */
     public int slowdown() {
         return slowdown;
     }
--- a/scale/src/main/java/baymoor/scale/loop/StreamLink.java
+++ b/scale/src/main/java/baymoor/scale/loop/StreamLink.java
@@ -14,8 +14,10 @@
 
     /** Hears how many bytes went over a connection. */
     public interface Meter {
+        /** So many bytes came in. */
         void received(int bytes);
 
+        /** So many bytes have left. */
         void sent(int bytes);
     }
 
--- a/scale/src/main/java/baymoor/scale/plan/Places.java
+++ b/scale/src/main/java/baymoor/scale/plan/Places.java
@@ -42,10 +42,12 @@
         return zones.get(zoneOf(balancer)).region();
     }
 
+    /** Sites of all zones. */
     public int siteCount() {
         return zones.stream().mapToInt(Zone::sites).sum();
     }
 
+    /** The zones' names, in their order. */
     public List<String> zoneNames() {
         return zones.stream().map(Zone::name).toList();
     }
--- a/scale/src/main/java/baymoor/scale/plan/ScalePlan.java
+++ b/scale/src/main/java/baymoor/scale/plan/ScalePlan.java
@@ -35,6 +35,7 @@
      * @param cpuMicros    processor time a second that each is told it may spend on decisions
      */
     public record Balancers(int hollow, int real, long cpuMicros) {
+        /** All of them. */
         public int count() {
             return hollow + real;
         }
@@ -96,7 +97,7 @@
 
     /** The same plan with another number of balancers: the real ones stay, the hollow ones make up the rest. */
     public ScalePlan withBalancers(int count) {
-        int real = Math.min(count, balancers.real());
+        int real = Math.min(count - 1, balancers.real());
         Balancers changed = new Balancers(count - real, real, balancers.cpuMicros());
         double grown = (double) count / balancers.count();
         return new ScalePlan(
--- a/scale/src/main/java/baymoor/scale/plan/ScalePlanReader.java
+++ b/scale/src/main/java/baymoor/scale/plan/ScalePlanReader.java
@@ -135,8 +135,8 @@
     private ScalePlan.Balancers balancers(Table t) {
         int hollow = (int) t.whole("hollow", 0, 0);
         int real = (int) t.whole("real", 0, 0);
-        if (hollow + real < 1) {
-            t.mistake("hollow", "and real make no balancer at all");
+        if (hollow < 1) {
+            t.mistake("hollow", "is 0: without hollow balancers nobody hears what the real ones say");
         }
         if (hollow + real > MOST_BALANCERS) {
             t.mistake("hollow", "and real make over " + MOST_BALANCERS);
--- a/scale/src/main/java/baymoor/scale/real/ProcessGuard.java
+++ b/scale/src/main/java/baymoor/scale/real/ProcessGuard.java
@@ -19,6 +19,7 @@
 
     private ProcessGuard() {}
 
+    /** Watches until its input ends. */
     public static void main(String[] args) throws IOException {
         Set<ProcessHandle> watched = new HashSet<>();
         BufferedReader lines = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
--- a/scale/src/main/java/baymoor/scale/run/MachineWatch.java
+++ b/scale/src/main/java/baymoor/scale/run/MachineWatch.java
@@ -9,6 +9,9 @@
 /** Watches whether the machine itself was the limit: how late a thread that does nothing else runs, and what the kernel drops. */
 final class MachineWatch implements Runnable {
 
+    /** How the machine stood a run: how late a thread was there, in its own time, and datagrams dropped. */
+    record State(double lateMillis, long dropped) {}
+
     private static final Path UDP = Path.of("/proc/net/udp");
     private static final long STEP_MILLIS = 10;
     private static final long LONGEST_MICROS = 60_000_000;
--- a/scale/src/main/java/baymoor/scale/run/ScaleRun.java
+++ b/scale/src/main/java/baymoor/scale/run/ScaleRun.java
@@ -23,9 +23,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
@@ -45,11 +43,6 @@
     private static final long SETTLE_SECONDS = 5;
     private static final long MICROS = 1_000_000;
     private static final long LOOK_MICROS = 2_000;
-    /** A subperiod of the split: whoever is so late deals out credits on other figures than it would have. */
-    private static final double MOST_LATENESS_MILLIS = 50;
-    /** Of all datagrams: more, and ages would tell of the kernel's buffers. */
-    private static final double MOST_DROPPED = 1e-4;
-
     /**
      * @param folder   for configurations and logs
      * @param home     where the serving command is started
@@ -309,15 +302,17 @@
         pass(plan.durationMicros());
         List<Totals> after = hollow.sample(false);
         List<RealSample> realAfter = real.sample();
-        Machine state = new Machine(machine.latenessP99Millis(), machine.drops() - droppedBefore);
+        MachineWatch.State state = new MachineWatch.State(machine.latenessP99Millis(), machine.drops() - droppedBefore);
         settle();
         Figures figures = new Figures(before, after, hollow.sample(true));
-        return result(file, figures, new RealFigures(realBefore, realAfter, figures), from, state);
+        RealFigures realFigures = new RealFigures(realBefore, realAfter, figures);
+        long until = from + plan.durationMicros();
+        List<ListChanges.Change> changed = onThread(() ->
+                changes.changes(from, until, figures.known(), plan.balancers().hollow()));
+        return new ResultBuilder(plan, file, reasons)
+                .build(figures, realFigures, origin, state, changed, recoveries.all());
     }
 
-    /** How the machine stood the run. */
-    private record Machine(double lateMillis, long dropped) {}
-
     /** Waits a while until the last change is known everywhere. */
     private void settle() throws IOException, InterruptedException {
         long version = onThread(() -> world.index(0));
@@ -338,82 +333,4 @@
             checkAlive();
         }
     }
-
-    private ScaleResult result(String file, Figures figures, RealFigures realFigures, long from, Machine state)
-            throws IOException, InterruptedException {
-        double lateness = Math.max(state.lateMillis() / clock.slowdown(), figures.latenessP99Millis());
-        double datagrams = figures.grown(Totals::messagesOut);
-        if (lateness > MOST_LATENESS_MILLIS) {
-            reasons.add(String.format("the machine was the limit: threads ran %.0f ms late (p99)", lateness));
-        }
-        if (state.dropped() > datagrams * MOST_DROPPED) {
-            reasons.add("the machine was the limit: the kernel dropped " + state.dropped() + " datagrams");
-        }
-        long failures = (long) figures.grown(Totals::failures);
-        if (failures > 0) {
-            reasons.add(failures + " tasks or decisions failed");
-        }
-        Map<String, Double> mean = new LinkedHashMap<>();
-        if (figures.hasBalancers()) {
-            mean.putAll(figures.hollow());
-            mean.put("overIssue", origin.overIssue());
-            mean.put("use", origin.use());
-            mean.put("loadSpread", figures.loadSpread(plan.routers().count()));
-        }
-        long until = from + plan.durationMicros();
-        List<Map<String, Double>> changed =
-                onThread(() -> changes.changes(
-                                from, until, figures.known(), plan.balancers().hollow()))
-                        .stream()
-                        .map(ScaleRun::fields)
-                        .toList();
-        return new ScaleResult(
-                file,
-                plan.seed(),
-                reasons.isEmpty(),
-                List.copyOf(reasons),
-                new ScaleResult.Machine(Runtime.getRuntime().availableProcessors(), lateness, state.dropped()),
-                size(figures, realFigures, changed.size()),
-                mean,
-                realFigures.each(),
-                changed,
-                recoveries.all(),
-                notes(figures));
-    }
-
-    private static Map<String, Double> fields(ListChanges.Change change) {
-        Map<String, Double> fields = new LinkedHashMap<>();
-        fields.put("atSeconds", change.atSeconds());
-        fields.put("known50Ms", change.known50Ms());
-        fields.put("known99Ms", change.known99Ms());
-        fields.put("known100Ms", change.known100Ms());
-        return fields;
-    }
-
-    private ScaleResult.Size size(Figures figures, RealFigures realFigures, int changed) {
-        double requests = figures.grown(Totals::requests) / figures.seconds() + realFigures.requestsPerSecond();
-        return new ScaleResult.Size(
-                plan.balancers().count(),
-                plan.balancers().hollow(),
-                plan.balancers().real(),
-                plan.routers().count(),
-                plan.places().siteCount(),
-                plan.places().zones().size(),
-                plan.places().regions().size(),
-                requests,
-                plan.traffic().keys(),
-                changed / figures.seconds(),
-                figures.seconds());
-    }
-
-    private Map<String, Double> notes(Figures figures) {
-        Map<String, Double> notes = new LinkedHashMap<>();
-        notes.put("slowdown", (double) plan.slowdown());
-        notes.put("requests", figures.grown(Totals::requests));
-        notes.put("answers", figures.grown(Totals::answers));
-        notes.put("refusals", figures.grown(Totals::refusals));
-        notes.put("fetches", figures.grown(Totals::fetches));
-        notes.put("unsentDatagrams", figures.grown(Totals::unsent));
-        return notes;
-    }
 }
--- a/scale/src/main/java/baymoor/scale/run/Scenarios.java
+++ b/scale/src/main/java/baymoor/scale/run/Scenarios.java
@@ -23,6 +23,38 @@
     private static final double LEAST_RATE = 0.001;
     private static final int MOST_BALANCERS_READ = 200;
 
+    private static final String TEMPLATE = """
+            zones = [%s]
+            warm_up = "%dus"
+            duration = "%dus"
+            [balancers]
+            count = %d
+            [[routers]]
+            kind = "router"
+            count = %d
+            cores = %d
+            speed = %.4f
+            speed_spread = "0%%"
+            [origin]
+            capacity = "%.3f/s"
+            [keys]
+            count = %d
+            exponent = %.4f
+            size = "%dB"
+            [told]
+            cpu = "%dus"
+            [discovery]
+            notice = "50ms"
+            add = "50ms"
+            spread = %s
+            call = "%dus"
+            line = "%dus"
+            [traffic]
+            rate = "%.4f/s"
+            wave = "0%%"
+            zone_shares = [%s]
+            """;
+
     private Scenarios() {}
 
     /** The whole tier, from which the settings of each balancer come. */
@@ -75,37 +107,7 @@
                 asked * WORK_SECONDS / ROUTER_LOAD / (CORES * plan.routers().count()));
         return String.format(
                         Locale.ROOT,
-                        """
-                        zones = [%s]
-                        warm_up = "%dus"
-                        duration = "%dus"
-                        [balancers]
-                        count = %d
-                        [[routers]]
-                        kind = "router"
-                        count = %d
-                        cores = %d
-                        speed = %.4f
-                        speed_spread = "0%%"
-                        [origin]
-                        capacity = "%.3f/s"
-                        [keys]
-                        count = %d
-                        exponent = %.4f
-                        size = "%dB"
-                        [told]
-                        cpu = "%dus"
-                        [discovery]
-                        notice = "50ms"
-                        add = "50ms"
-                        spread = %s
-                        call = "%dus"
-                        line = "%dus"
-                        [traffic]
-                        rate = "%.4f/s"
-                        wave = "0%%"
-                        zone_shares = [%s]
-                        """,
+                        TEMPLATE,
                         plan.places().zoneNames().stream()
                                 .map(name -> "\"" + name + "\"")
                                 .collect(Collectors.joining(", ")),
--- a/scale/src/test/java/baymoor/scale/plan/ScalePlanReaderTest.java
+++ b/scale/src/test/java/baymoor/scale/plan/ScalePlanReaderTest.java
@@ -45,7 +45,7 @@
                     "region = \"west\"\n[b",
                     "zones[2].region = \"west\" is none of north, south"),
             new Mistaken("[\"north\", \"south\"]", "[\"north\", \"north\"]", "regions names a region twice"),
-            new Mistaken("hollow = 7\nreal = 2", "hollow = 0", "balancers.hollow and real make no balancer at all"),
+            new Mistaken("hollow = 7\nreal = 2", "hollow = 0", "p.toml:10:1: balancers.hollow is 0: without"),
             new Mistaken("real = 2", "real = 33", "p.toml:11:1: balancers.real is over 32"),
             new Mistaken("hollow = 7", "hollow = 999", "balancers.hollow and real make over 1000"),
             new Mistaken("hollow = 7", "hollow = \"7\"", "balancers.hollow is not a whole number"),
