--- a/cli/src/main/java/baymoor/cli/ScaleFitBenchmarks.java
+++ b/cli/src/main/java/baymoor/cli/ScaleFitBenchmarks.java
@@ -25,6 +25,12 @@
     @Parameters(paramLabel = "FILE", description = "JSON results of the module 'benchmarks'.")
     private Path file;
 
+    @Option(
+            names = "--up-to",
+            paramLabel = "BALANCERS",
+            description = "Fit only what was measured with so many balancers at most, and predict the rest.")
+    private Integer upTo;
+
     @Option(names = "--json", paramLabel = "OUT", description = "Write the slopes here as JSON.")
     private Path json;
 
@@ -32,7 +38,7 @@
     public Integer call() throws IOException {
         BenchmarkFit fit;
         try {
-            fit = BenchmarkFit.of(file);
+            fit = upTo == null ? BenchmarkFit.of(file) : BenchmarkFit.upTo(file, upTo);
         } catch (BadResult e) {
             spec.commandLine().getErr().println(spec.qualifiedName() + ": " + e.getMessage());
             return CommandLine.ExitCode.USAGE;
--- a/scale/src/main/java/baymoor/scale/fit/BenchmarkFit.java
+++ b/scale/src/main/java/baymoor/scale/fit/BenchmarkFit.java
@@ -3,11 +3,13 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -33,9 +35,9 @@
 
     private enum Term {
         BALANCERS,
+        REPORTED_LOADS,
         ROUTERS,
         REPORTED_BY_EACH,
-        REPORTED_LOADS,
         KEYS;
 
         private String label() {
@@ -44,14 +46,28 @@
     }
 
     /** A measured value at a size. */
-    private record Sample(double[] size, double value) {}
+    private record Sample(double[] size, double value) {
+        double balancers() {
+            return size[Term.BALANCERS.ordinal()];
+        }
+    }
 
     /** A cost of one benchmark, fitted; {@code terms} are the fit's columns. */
     private record Cost(String name, List<Term> terms, LeastSquares fit, int samples) {}
 
+    /** The mean cost at a size that the fit left out, and what it predicts there. */
+    private record Prediction(String cost, String size, double measured, double predicted) {
+        double error() {
+            return predicted / measured - 1;
+        }
+    }
+
     private final List<Cost> costs = new ArrayList<>();
+    private final List<Prediction> predictions = new ArrayList<>();
+    private final double mostBalancers;
 
-    private BenchmarkFit(Path file, JsonNode results) throws BadResult {
+    private BenchmarkFit(Path file, JsonNode results, double mostBalancers) throws BadResult {
+        this.mostBalancers = mostBalancers;
         Map<String, List<Sample>> samples = new TreeMap<>();
         for (JsonNode result : results) {
             double[] size = size(file, result.path("params"));
@@ -68,8 +84,16 @@
         }
     }
 
-    /** Reads JMH's results and fits them. */
+    /** Reads JMH's results and fits them all, with a slope for each term, whether or not it differs from 0. */
     public static BenchmarkFit of(Path file) throws BadResult {
+        return upTo(file, Double.MAX_VALUE);
+    }
+
+    /**
+     * Reads JMH's results, fits those of at most so many balancers, and predicts the larger ones. Terms that don't differ from 0
+     * with 99% confidence are left out, as they would carry noise to the larger sizes.
+     */
+    public static BenchmarkFit upTo(Path file, double mostBalancers) throws BadResult {
         JsonNode results;
         try {
             results = JSON.readTree(Files.readAllBytes(file));
@@ -81,7 +105,7 @@
         if (!results.isArray()) {
             throw new BadResult(file + ": no JSON array of benchmarks");
         }
-        return new BenchmarkFit(file, results);
+        return new BenchmarkFit(file, results, mostBalancers);
     }
 
     /** Processor time where it was measured, else time on the clock, of each iteration. */
@@ -126,27 +150,63 @@
         throw new BadResult(file + ": a benchmark's size is not BALANCERSxROUTERSxREPORTED");
     }
 
-    private void fit(String cost, List<Sample> samples) {
+    private void fit(String cost, List<Sample> all) {
+        List<Sample> samples = all.stream()
+                .filter(sample -> sample.balancers() <= mostBalancers)
+                .toList();
         List<Term> terms = new ArrayList<>();
         LeastSquares fit = null;
         for (Term term : Term.values()) {
             List<Term> longer = new ArrayList<>(terms);
             longer.add(term);
             LeastSquares extended = separable(term, terms, samples) ? fit(longer, samples) : null;
-            if (extended != null) {
+            if (extended != null && (!predicting() || extended.certain(terms.size()))) {
                 terms = longer;
                 fit = extended;
             }
         }
         if (fit != null) {
             costs.add(new Cost(cost, terms, fit, samples.size()));
+            predict(costs.get(costs.size() - 1), all);
+        }
+    }
+
+    private boolean predicting() {
+        return mostBalancers < Double.MAX_VALUE;
+    }
+
+    private void predict(Cost cost, List<Sample> all) {
+        Map<String, List<Sample>> larger = new LinkedHashMap<>();
+        for (Sample sample : all) {
+            if (sample.balancers() > mostBalancers) {
+                larger.computeIfAbsent(label(sample.size()), size -> new ArrayList<>())
+                        .add(sample);
+            }
         }
+        larger.forEach((size, samples) -> {
+            double measured =
+                    samples.stream().mapToDouble(Sample::value).average().orElseThrow();
+            double predicted =
+                    cost.fit().predict(row(cost.terms(), samples.get(0).size()));
+            predictions.add(new Prediction(cost.name(), size, measured, predicted));
+        });
+    }
+
+    private static String label(double[] size) {
+        String text = String.format(
+                Locale.ROOT,
+                "%.0fx%.0fx%.0f",
+                size[Term.BALANCERS.ordinal()],
+                size[Term.ROUTERS.ordinal()],
+                size[Term.REPORTED_BY_EACH.ordinal()]);
+        double keys = size[Term.KEYS.ordinal()];
+        return keys == 0 ? text : text + String.format(Locale.ROOT, ", %.0f keys", keys);
     }
 
     /** Whether the samples tell what a term does from what others do. */
     private static boolean separable(Term term, List<Term> others, List<Sample> samples) {
         double[] column = column(term, samples);
-        if (StatUtils.max(column) < MEANT * StatUtils.min(column)) {
+        if (samples.isEmpty() || StatUtils.max(column) < MEANT * StatUtils.min(column)) {
             return false;
         }
         PearsonsCorrelation correlation = new PearsonsCorrelation();
@@ -195,6 +255,20 @@
                     String.join(", ", slopes),
                     100 * fit.residualError()));
         }
+        if (!predictions.isEmpty()) {
+            lines.add("");
+            lines.add("cost | size | measured | predicted | error");
+        }
+        for (Prediction prediction : predictions) {
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "%s | %s | %.4g | %.4g | %.1f%%",
+                    prediction.cost(),
+                    prediction.size(),
+                    prediction.measured(),
+                    prediction.predicted(),
+                    100 * prediction.error()));
+        }
         return String.join("\n", lines);
     }
 
@@ -214,6 +288,15 @@
                         .put("interval", fit.slopeInterval(i));
             }
         }
+        ArrayNode rows = predicting() ? root.putArray("predictions") : null;
+        for (Prediction prediction : predictions) {
+            rows.addObject()
+                    .put("cost", prediction.cost())
+                    .put("size", prediction.size())
+                    .put("measured", prediction.measured())
+                    .put("predicted", prediction.predicted())
+                    .put("error", prediction.error());
+        }
         return root;
     }
 }
--- a/scale/src/test/java/baymoor/scale/fit/BenchmarkFitTest.java
+++ b/scale/src/test/java/baymoor/scale/fit/BenchmarkFitTest.java
@@ -54,6 +54,20 @@
         assertEquals(2, fit.json().at("/tick micros/slopes/balancers/value").asDouble(), 1e-6);
     }
 
+    @Test
+    public void largerSizesArePredictedFromSmallerOnes() throws IOException, BadResult {
+        ArrayNode results = SyntheticRuns.JSON.createArrayNode();
+        for (int[] size : SIZES) {
+            results.add(result("x.TickBenchmark.tick", size, 3 + 0.3 * size[0] + 0.05 * size[0] * size[2], 100));
+        }
+        BenchmarkFit fit = BenchmarkFit.upTo(written(results.toString()), 320);
+        JsonNode predictions = fit.json().path("predictions");
+        assertEquals("640x60x0", predictions.get(0).path("size").asText());
+        assertEquals(0, predictions.get(0).path("error").asDouble(), 1e-6);
+        assertTrue(fit.table(), fit.table().contains("tick micros | 640x180x67 | 2339 | 2339 | "));
+        assertTrue(fit.json().at("/tick micros/slopes/routers").isMissingNode());
+    }
+
     @Test
     public void whatIsNoResultOfBenchmarksIsRefusedInOneLine() throws IOException {
         refused("{}", "no JSON array");
