--- a/bench/serving.sh
+++ b/bench/serving.sh
@@ -71,9 +71,10 @@
 ticks=$(($(ticks) - from))
 micros=$((($(date +%s%N) - began) / 1000))
 resident=$(figure VmRSS:)
-wait "$tool" || true
+kept=true # whether all four rules held
+wait "$tool" || kept=false
 tool=
-awk -v rate="$rate" -v size="$size" -v ticks="$ticks" -v micros="$micros" -v rss="$resident" -v hz="$(getconf CLK_TCK)" 'BEGIN {
+awk -v kept="$kept" -v rate="$rate" -v size="$size" -v ticks="$ticks" -v micros="$micros" -v rss="$resident" -v hz="$(getconf CLK_TCK)" 'BEGIN {
   printf "{\"requestsPerSecond\": %s, \"value\": \"%s\", \"seconds\": %.2f, \"cpuSecondsPerSecond\": %.4f, ", rate, size, micros / 1e6, ticks / hz / (micros / 1e6)
-  printf "\"cpuMicrosPerRequest\": %.1f, \"residentKilobytes\": %d}\n", ticks / hz / (micros / 1e6) / rate * 1e6, rss }'
-grep -E 'in time|offered|asked|served|requests' "$work/log" >&2 || tail -40 "$work/log" >&2
+  printf "\"cpuMicrosPerRequest\": %.1f, \"residentKilobytes\": %d, \"rulesKept\": %s}\n", ticks / hz / (micros / 1e6) / rate * 1e6, rss, kept }'
+grep -E '^  (asked|served|worth)|rule|^seed' "$work/log" >&2 || tail -40 "$work/log" >&2
