--- a/benchmarks/src/main/java/baymoor/benchmarks/Instance.java
+++ b/benchmarks/src/main/java/baymoor/benchmarks/Instance.java
@@ -40,7 +40,7 @@
     private static final long SECOND_MICROS = 1_000_000;
     private static final long START_MICROS = 5 * SECOND_MICROS;
     private static final long DEADLINE_MICROS = 2 * SECOND_MICROS;
-    private static final long ORIGIN_ID = 1L << 40;
+    static final long ORIGIN_ID = 1L << 40;
     /** Fetches a second that the origin may be sent by all balancers together. */
     private static final double QUOTA_PER_SECOND = 2_000;
     /** Processor time of a deployment's balancer, from which the module derives its tick interval. */
@@ -85,6 +85,16 @@
         return handle(new TimerFired(timerToken));
     }
 
+    /** Fires the pending timer at the present time. */
+    List<Action> firePending() {
+        return fire(timerToken);
+    }
+
+    /** Fires a timer at the present time. */
+    List<Action> fire(long token) {
+        return handle(new TimerFired(token));
+    }
+
     void advance(long micros) {
         nowMicros += micros;
     }
