--- a/scale/src/main/java/baymoor/scale/fit/FigureFit.java
+++ b/scale/src/main/java/baymoor/scale/fit/FigureFit.java
@@ -44,6 +44,7 @@
         this.quadraticPress = quadraticPress;
     }
 
+    /** The name of the figure that was fitted. */
     public String figure() {
         return figure;
     }
@@ -53,10 +54,12 @@
         return dimensions.contains(Dimension.BALANCERS_SQUARED);
     }
 
+    /** The fitted value at no balancers at all, in the figure's own unit. */
     public double intercept() {
         return fit.intercept();
     }
 
+    /** Half the width of the 95% confidence interval of {@link #intercept}. */
     public double interceptInterval() {
         return fit.interceptInterval();
     }
