--- a/emulator/src/main/java/baymoor/emulator/judge/Judge.java
+++ b/emulator/src/main/java/baymoor/emulator/judge/Judge.java
@@ -1,16 +1,17 @@
 package baymoor.emulator.judge;
 
+import baymoor.emulator.judge.RequestRecord.Attempt;
 import baymoor.emulator.scenario.Scenario.Effect;
 import baymoor.emulator.scenario.Scenario.Figures;
 import baymoor.emulator.scenario.Scenario.RequestClass;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -24,63 +25,13 @@
  */
 public final class Judge {
 
-    /** What came back to a client. */
-    public enum AnswerKind {
-        SERVED,
-        REFUSED,
-        FAILED
-    }
-
     private static final long KEEP_MICROS = 30_000_000;
-    private static final int MOST_STEPS = 40;
     private static final double MOST_COLD_SHARE = 0.3;
     private static final double MOST_COLD_EXCESS = 1.25;
     private static final double TOLD_SHARE = 2.0 / 3;
     private static final long LEFT_MICROS = 100_000;
     private static final int LEFT_BY_CHANCE = 2;
 
-    private record Step(long at, String what, String where) {}
-
-    private static final class Attempt {
-        final String host;
-        final long connection;
-        boolean out = true;
-        boolean answered;
-        boolean notRun;
-        boolean suspected;
-        long suspectedAt;
-
-        Attempt(String host, long connection) {
-            this.host = host;
-            this.connection = connection;
-        }
-    }
-
-    private static final class RequestRecord {
-        final String id;
-        final RequestClass kind;
-        final long giveUp;
-        int balancer = -1;
-        boolean taken;
-        boolean over;
-        boolean excused;
-        int runs;
-        long firstRan;
-        long firstMayHaveRun = -1;
-        long leftAt = Long.MAX_VALUE;
-        int[] made = new int[0];
-        final List<Attempt> attempts = new ArrayList<>(2);
-        final List<Step> steps = new ArrayList<>(8);
-
-        RequestRecord(String id, RequestClass kind, long giveUp) {
-            this.id = id;
-            this.kind = kind;
-            this.giveUp = giveUp;
-        }
-    }
-
-    private record ListedState(boolean stopped, long at, long since) {}
-
     private record EndedRequest(long at, RequestRecord request) {}
 
     private final LongSupplier clock;
@@ -92,13 +43,13 @@
     private final Map<Long, RequestRecord> connections = new HashMap<>();
     private final ArrayDeque<EndedRequest> ended = new ArrayDeque<>();
     private final ArrayDeque<RequestRecord> suspects = new ArrayDeque<>();
-    private final Map<Integer, Map<String, ListedState>> listedStates = new HashMap<>();
+    private final ListedStates listedStates = new ListedStates();
     private final Map<Integer, Long> stalledUntil = new HashMap<>();
     /** Balancers that have died and not started again. */
     private final Set<Integer> dead = new HashSet<>();
 
     private int begunForNobody;
-    private final CRC32C sums = new CRC32C();
+    private final CRC32C checksum = new CRC32C();
     private final Map<Rule, Integer> counts = new EnumMap<>(Rule.class);
 
     /**
@@ -126,19 +77,12 @@
 
     private void breaks(Rule rule, RequestRecord request, String what) {
         counts.merge(rule, 1, Integer::sum);
-        List<String> last = new ArrayList<>();
-        if (request != null) {
-            request.steps.forEach(
-                    s -> last.add(s.at - epoch + " us  " + s.what + (s.where.isEmpty() ? "" : "  " + s.where)));
-        }
+        List<String> last = request == null ? List.of() : request.stepLines(epoch);
         broken.accept(new Broken(rule, clock.getAsLong() - epoch, request == null ? "" : request.id, what, last));
     }
 
     private void step(RequestRecord request, String what, String where) {
-        if (request.steps.size() == MOST_STEPS) {
-            request.steps.remove(1);
-        }
-        request.steps.add(new Step(clock.getAsLong(), what, where));
+        request.step(clock.getAsLong(), what, where);
     }
 
     private void over(RequestRecord request) {
@@ -158,10 +102,7 @@
         }
         while (!suspects.isEmpty()) {
             RequestRecord request = suspects.peek();
-            Attempt due = request.attempts.stream()
-                    .filter(attempt -> attempt.suspected)
-                    .findFirst()
-                    .orElse(null);
+            Attempt due = request.suspected();
             if (due != null && now - due.suspectedAt <= slack) {
                 return;
             }
@@ -212,13 +153,10 @@
         }
         over(request);
         if (kind == AnswerKind.SERVED) {
-            int sum = sum(value);
-            if (Arrays.stream(request.made).noneMatch(m -> m == sum)) {
+            if (!request.made.contains(sum(value))) {
                 breaks(Rule.TRUE_VALUE, request, "served what no host made for it");
             }
-        } else if (kind == AnswerKind.REFUSED
-                && request.kind.effect() == Effect.UNSAFE
-                && (request.runs > 0 || request.attempts.stream().anyMatch(attempt -> !attempt.notRun))) {
+        } else if (kind == AnswerKind.REFUSED && request.kind.effect() == Effect.UNSAFE && request.mayHaveRun()) {
             breaks(Rule.HARMLESS_REFUSAL, request, "an unsafe request that may have run was answered with a back-off");
         }
     }
@@ -267,7 +205,7 @@
 
     /** A balancer's process has died, or begins to end: it owes nothing for what it had taken. */
     public void died(int balancer) {
-        listedStates.remove(balancer);
+        listedStates.forget(balancer);
         dead.add(balancer);
         for (RequestRecord request : requests.values()) {
             if (!request.over && request.balancer == balancer) {
@@ -281,7 +219,7 @@
      * came back before a planned restart, the new process took it from its list as in service, and the old word stood.
      */
     public void started(int balancer) {
-        listedStates.remove(balancer);
+        listedStates.forget(balancer);
         dead.remove(balancer);
     }
 
@@ -328,12 +266,12 @@
                     request,
                     "sent again " + (now - request.firstMayHaveRun) + " us after an attempt that may have run");
         }
-        ListedState listed = listedStates.getOrDefault(balancer, Map.of()).get(host);
-        if (listed != null && listed.stopped && now - listed.at > figures.drainGraceMicros() + slack) {
+        OptionalLong stoppedAt = listedStates.stoppedAt(balancer, host);
+        if (stoppedAt.isPresent() && now - stoppedAt.getAsLong() > figures.drainGraceMicros() + slack) {
             breaks(
                     Rule.DRAINED,
                     request,
-                    "sent to " + host + " " + (now - listed.at) + " us after it was told to stop");
+                    "sent to " + host + " " + (now - stoppedAt.getAsLong()) + " us after it was told to stop");
         }
         request.attempts.add(new Attempt(host, connection));
         request.firstMayHaveRun = request.firstMayHaveRun < 0 ? now : request.firstMayHaveRun;
@@ -341,22 +279,13 @@
     }
 
     private int sum(byte[] value) {
-        sums.reset();
-        sums.update(value);
-        return (int) sums.getValue();
+        checksum.reset();
+        checksum.update(value);
+        return (int) checksum.getValue();
     }
 
     private Attempt onConnection(long connection) {
-        RequestRecord request = connections.get(connection);
-        if (request == null) {
-            return null;
-        }
-        for (int i = request.attempts.size() - 1; i >= 0; i--) {
-            if (request.attempts.get(i).connection == connection) {
-                return request.attempts.get(i);
-            }
-        }
-        return null;
+        return connections.containsKey(connection) ? connections.get(connection).onConnection(connection) : null;
     }
 
     /** Bytes of a host's answer have come to the balancer. */
@@ -385,18 +314,7 @@
             return;
         }
         step(request, notRun ? "turned away or missed" : "host answered", "at " + host);
-        for (int i = request.attempts.size() - 1; i >= 0; i--) {
-            Attempt attempt = request.attempts.get(i);
-            if (attempt.host.equals(host) && !attempt.answered) {
-                attempt.answered = true;
-                attempt.notRun = notRun;
-                attempt.out &= slack == 0; // without sight of the balancer's side, an answer that left is one that came
-                break;
-            }
-        }
-        if (request.attempts.stream().allMatch(attempt -> attempt.notRun)) {
-            request.firstMayHaveRun = -1;
-        }
+        request.hostAnswered(host, notRun, slack == 0);
     }
 
     /** The request has had its effect at a host. */
@@ -423,8 +341,7 @@
     public void made(String id, byte[] value) {
         RequestRecord request = requests.get(id);
         if (request != null) {
-            request.made = Arrays.copyOf(request.made, request.made.length + 1);
-            request.made[request.made.length - 1] = sum(value);
+            request.made.add(sum(value));
         }
     }
 
@@ -437,20 +354,12 @@
      * @param sinceMicros when it last started, 0 for long ago
      */
     public void told(int balancer, String host, boolean stopped, long sinceMicros) {
-        Map<String, ListedState> known = listedStates.computeIfAbsent(balancer, b -> new HashMap<>());
-        if (!stopped && sinceMicros == 0) {
-            known.remove(host); // nothing that a rule turns on
-            return;
-        }
-        ListedState before = known.get(host);
-        boolean same = before != null && before.stopped == stopped && before.since == sinceMicros;
-        known.put(host, new ListedState(stopped, same ? before.at : clock.getAsLong(), sinceMicros));
+        listedStates.told(balancer, host, stopped, sinceMicros, clock.getAsLong());
     }
 
     /** Whether a balancer was told of a host's last start. */
     public boolean knowsStart(int balancer, String host, long sinceMicros) {
-        ListedState listed = listedStates.getOrDefault(balancer, Map.of()).get(host);
-        return listed != null && listed.since == sinceMicros;
+        return listedStates.knowsStart(balancer, host, sinceMicros);
     }
 
     /** A cold router fell over; {@code fromTold}: share of the work of those who knew of its start. */
@@ -460,7 +369,7 @@
                     Rule.COLD_ROUTER,
                     null,
                     String.format(
-                            java.util.Locale.ROOT,
+                            Locale.ROOT,
                             "%s fell over, %.0f%% of its work from balancers that knew of its start",
                             host,
                             fromTold * 100));
@@ -477,7 +386,7 @@
                     Rule.ORIGIN_SPARED,
                     null,
                     String.format(
-                            java.util.Locale.ROOT,
+                            Locale.ROOT,
                             "the origin stopped, %.0f%% of its load misses at cold routers, %.1f times what was due to them",
                             coldShare * 100,
                             excess));
--- a/emulator/src/main/java/baymoor/emulator/world/Clients.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Clients.java
@@ -2,6 +2,7 @@
 
 import baymoor.emulator.chance.Draw;
 import baymoor.emulator.chance.Streams;
+import baymoor.emulator.judge.AnswerKind;
 import baymoor.emulator.judge.Judge;
 import baymoor.emulator.report.Tally;
 import baymoor.emulator.scenario.Scenario;
@@ -203,7 +204,7 @@
         }
     }
 
-    /** One profile that a client wants, through all its tries. */
+    /** One request of a client, through all its tries. */
     private final class Request {
         private final Zone zone;
         private final RequestClass kind;
@@ -366,15 +367,15 @@
         void answered(Resp answer) {
             settle();
             if (answer instanceof Resp.Bulk bulk && bulk.bytes() != null) {
-                judge.answered(id, Judge.AnswerKind.SERVED, bulk.bytes());
+                judge.answered(id, AnswerKind.SERVED, bulk.bytes());
                 boolean inTime = zone.time.now() - request.firstAsked <= request.kind.aimMicros();
                 request.end(inTime ? Tally.End.IN_TIME : Tally.End.LATE);
             } else if (answer instanceof Resp.Failure f && f.text().startsWith("BUSY")) {
-                judge.answered(id, Judge.AnswerKind.REFUSED, null);
+                judge.answered(id, AnswerKind.REFUSED, null);
                 String wait = f.text().substring("BUSY".length()).strip();
                 request.failed(Tally.End.REFUSED, wait.matches("[0-9]{1,9}") ? Long.parseLong(wait) * 1000 : 0);
             } else {
-                judge.answered(id, Judge.AnswerKind.FAILED, null);
+                judge.answered(id, AnswerKind.FAILED, null);
                 request.failed(Tally.End.FAILED, 0);
             }
         }
@@ -487,8 +488,7 @@
         /** An answer that nobody asked for: one too many for the last try, and the end of this connection. */
         private void surplus(Resp answer) {
             if (last != null) {
-                judge.answered(
-                        last, answer instanceof Resp.Bulk ? Judge.AnswerKind.SERVED : Judge.AnswerKind.FAILED, null);
+                judge.answered(last, answer instanceof Resp.Bulk ? AnswerKind.SERVED : AnswerKind.FAILED, null);
             }
             zone.idle.get(balancer).remove(this);
             over = true;
--- a/emulator/src/test/java/baymoor/emulator/judge/JudgeTest.java
+++ b/emulator/src/test/java/baymoor/emulator/judge/JudgeTest.java
@@ -55,15 +55,15 @@
         judge.made("r", VALUE);
         judge.hostAnswered("r", "origin", false);
         judge.answerIn(2);
-        judge.answered("r", Judge.AnswerKind.SERVED, VALUE);
+        judge.answered("r", AnswerKind.SERVED, VALUE);
         expect();
     }
 
     @Test
     public void aSecondAnswerBreaksARule() {
         taken("map-read");
-        judge.answered("r", Judge.AnswerKind.FAILED, null);
-        judge.answered("r", Judge.AnswerKind.FAILED, null);
+        judge.answered("r", AnswerKind.FAILED, null);
+        judge.answered("r", AnswerKind.FAILED, null);
         expect(Rule.ONE_ANSWER);
     }
 
@@ -224,12 +224,12 @@
         taken("search-order");
         judge.attemptSent("r", 0, "origin", 1);
         judge.attemptClosed(1);
-        judge.answered("r", Judge.AnswerKind.REFUSED, null);
+        judge.answered("r", AnswerKind.REFUSED, null);
         expect(Rule.HARMLESS_REFUSAL);
         judge.asked("s", kind("map-read"), now + 1);
         judge.taken("s", 0);
         judge.attemptSent("s", 0, "a", 2);
-        judge.answered("s", Judge.AnswerKind.REFUSED, null);
+        judge.answered("s", AnswerKind.REFUSED, null);
         expect(Rule.HARMLESS_REFUSAL);
     }
 
@@ -301,7 +301,7 @@
         judge.asked("other", kind("map-read"), now + 1);
         judge.made("other", VALUE);
         taken("map-read");
-        judge.answered("r", Judge.AnswerKind.SERVED, VALUE);
+        judge.answered("r", AnswerKind.SERVED, VALUE);
         expect(Rule.TRUE_VALUE);
     }
 
@@ -309,7 +309,7 @@
     public void whatIsLongOverIsForgotten() {
         for (int i = 0; i < 100; i++) {
             judge.asked("r" + i, kind("map-read"), now + 1);
-            judge.answered("r" + i, Judge.AnswerKind.FAILED, null);
+            judge.answered("r" + i, AnswerKind.FAILED, null);
         }
         judge.look();
         assertEquals(100, judge.kept());
