tier: places, split, messages and state machines of an exchange in groups

Need: each balancer tells all others, which at 640 is some 639 datagrams a second each way. Change: a module of pure state machines: groups by place, a lease for each, parts of the allowance by commitments that never change, loads by turns. Not used by the balancer yet.

--- /dev/null
+++ b/tier/src/main/java/baymoor/tier/exchange/Outbox.java
@@ -0,0 +1,9 @@
+package baymoor.tier.exchange;
+
+/** Takes datagrams to other balancers; what can't be sent is lost like any datagram. */
+@FunctionalInterface
+public interface Outbox {
+
+    /** Sends to a balancer by its number. */
+    void send(int balancer, byte[] datagram);
+}
--- /dev/null
+++ b/tier/src/test/java/baymoor/tier/LayoutTest.java
@@ -0,0 +1,52 @@
+package baymoor.tier;
+
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import org.junit.Test;
+
+/** The module is pure: no cycles, nothing but the JDK, no socket, file, thread, clock or randomness without a seed. */
+public class LayoutTest {
+
+    private static final JavaClasses MODULE = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("baymoor.tier");
+
+    @Test
+    public void packagesImportInOneDirection() {
+        slices().matching("baymoor.tier.(*)..").should().beFreeOfCycles().check(MODULE);
+    }
+
+    @Test
+    public void nothingButTheLanguageIsUsed() {
+        ArchRuleDefinition.classes()
+                .should()
+                .onlyDependOnClassesThat()
+                .resideInAnyPackage("baymoor.tier..", "java.lang", "java.lang.runtime", "java.util..", "java.nio")
+                .check(MODULE);
+        ArchRuleDefinition.noClasses()
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("java.util.concurrent..", "java.lang.reflect..")
+                .check(MODULE);
+    }
+
+    @Test
+    public void noClockAndNoUnseededRandomness() {
+        ArchRuleDefinition.noClasses()
+                .should()
+                .callMethod(System.class, "currentTimeMillis")
+                .orShould()
+                .callMethod(System.class, "nanoTime")
+                .orShould()
+                .dependOnClassesThat()
+                .areAssignableTo(java.util.Random.class)
+                .orShould()
+                .dependOnClassesThat()
+                .areAssignableTo(Thread.class)
+                .check(MODULE);
+    }
+}
--- /dev/null
+++ b/tier/src/test/java/baymoor/tier/simulation/Network.java
@@ -0,0 +1,100 @@
+package baymoor.tier.simulation;
+
+import baymoor.tier.exchange.Sizes;
+import baymoor.tier.place.Level;
+import baymoor.tier.place.Places;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.BiPredicate;
+
+/** Datagrams between balancers in virtual time: delay by place, loss, doubling, cuts; counts what each sends and gets. */
+public final class Network {
+
+    /** What a test does to datagrams. */
+    public static final class Faults {
+        /** The probability that one is lost. */
+        public double loss;
+        /** The probability that one arrives twice. */
+        public double doubling;
+        /** What may come on top of the delay, evenly drawn. */
+        public long jitterMicros;
+        /** Whether the way from one balancer to another is cut. */
+        public BiPredicate<Integer, Integer> cut = (from, to) -> false;
+    }
+
+    /** Takes a datagram at its end. */
+    @FunctionalInterface
+    public interface Receiver {
+        void receive(int from, int to, byte[] datagram);
+    }
+
+    private record Arrival(long micros, long number, int from, int to, byte[] datagram) {}
+
+    private static final long[] DELAY_MICROS = {300, 1_000, 5_000, 40_000};
+
+    public final Faults faults = new Faults();
+    public final long[] sentBytes;
+    public final long[] heardBytes;
+    public final long[] sentMessages;
+    public final long[] heardMessages;
+    private final Places places;
+    private final Random random;
+    private final PriorityQueue<Arrival> arrivals =
+            new PriorityQueue<>(Comparator.comparingLong(Arrival::micros).thenComparingLong(Arrival::number));
+    private long number;
+
+    public Network(Places places, long seed) {
+        this.places = places;
+        random = new Random(seed);
+        sentBytes = new long[places.balancers()];
+        heardBytes = new long[places.balancers()];
+        sentMessages = new long[places.balancers()];
+        heardMessages = new long[places.balancers()];
+    }
+
+    /** Between two balancers, by the smallest group that holds both. */
+    public long delayMicros(int from, int to) {
+        int level = 0;
+        while (places.group(Level.of(level), from) != places.group(Level.of(level), to)) {
+            level++;
+        }
+        return DELAY_MICROS[level];
+    }
+
+    public void send(long nowMicros, int from, int to, byte[] datagram) {
+        sentMessages[from]++;
+        sentBytes[from] += datagram.length + Sizes.HEADER_BYTES;
+        if (faults.cut.test(from, to) || random.nextDouble() < faults.loss) {
+            return;
+        }
+        int copies = random.nextDouble() < faults.doubling ? 2 : 1;
+        for (int copy = 0; copy < copies; copy++) {
+            long jitter = faults.jitterMicros == 0 ? 0 : (long) (random.nextDouble() * faults.jitterMicros);
+            long at = nowMicros + delayMicros(from, to) + jitter;
+            arrivals.add(new Arrival(at, number++, from, to, datagram));
+        }
+    }
+
+    /** The time of the next arrival. */
+    public long nextMicros() {
+        return arrivals.isEmpty() ? Long.MAX_VALUE : arrivals.peek().micros();
+    }
+
+    /** Hands over all that arrives up to a time. */
+    public void deliver(long nowMicros, Receiver receiver) {
+        while (nextMicros() <= nowMicros) {
+            Arrival arrival = arrivals.poll();
+            heardMessages[arrival.to()]++;
+            heardBytes[arrival.to()] += arrival.datagram().length + Sizes.HEADER_BYTES;
+            receiver.receive(arrival.from(), arrival.to(), arrival.datagram());
+        }
+    }
+
+    /** Begins to count anew. */
+    public void resetCounts() {
+        for (long[] counts : new long[][] {sentBytes, heardBytes, sentMessages, heardMessages}) {
+            java.util.Arrays.fill(counts, 0);
+        }
+    }
+}
