--- a/tier/src/main/java/baymoor/tier/exchange/Timing.java
+++ b/tier/src/main/java/baymoor/tier/exchange/Timing.java
@@ -22,8 +22,8 @@
 
     static final int NEWEST_EPOCHS = 1;
 
-    private static final double SITE_SPREAD = 0.25;
-    private static final double[] OFFSETS = {0, 0.5, 0.75, 0.98};
+    private static final double SITE_SPREAD = 0.15;
+    private static final double[] OFFSETS = {0, 0.4, 0.65, 0.9};
 
     /** The epoch of a time. */
     public int epoch(long micros) {
--- a/tier/src/main/java/baymoor/tier/place/PlacesReader.java
+++ b/tier/src/main/java/baymoor/tier/place/PlacesReader.java
@@ -224,7 +224,8 @@
                 throw mistake(value.line(), "balancers", "goes down from " + first + " to " + last);
             }
             if (last >= balancers) {
-                throw mistake(value.line(), "balancers", "names number " + last + "; the last one is " + (balancers - 1));
+                throw mistake(
+                        value.line(), "balancers", "names number " + last + "; the last one is " + (balancers - 1));
             }
             for (int number = first; number <= last; number++) {
                 String before = siteOfBalancer.put(number, site);
