--- a/tier/src/main/java/baymoor/tier/exchange/Exchange.java
+++ b/tier/src/main/java/baymoor/tier/exchange/Exchange.java
@@ -283,8 +283,11 @@
             counters.foreign++;
             return;
         }
-        counters.previousVersion++;
-        members[0].hearPrevious(child, epoch, previous);
+        if (members[0].hearPrevious(child, epoch, previous)) {
+            counters.previousVersion++;
+        } else {
+            counters.foreign++;
+        }
     }
 
     private void hear(int epoch, int sender, GroupMessage message, byte[] datagram, Outbox out) {
--- a/tier/src/main/java/baymoor/tier/exchange/GroupMember.java
+++ b/tier/src/main/java/baymoor/tier/exchange/GroupMember.java
@@ -29,6 +29,7 @@
         int speaker = Digest.UNKNOWN;
         int incarnation;
         int sequence = -1;
+        boolean previousVersion;
         Totals totals = Totals.NONE;
         int[] loads = new int[0];
     }
@@ -170,11 +171,12 @@
         if (message.previous() != null && message.epoch() > 0) {
             consistent &= log.put(child, message.epoch() - 1, message.previous());
         }
-        boolean newer = message.epoch() > sibling.epoch;
-        boolean overtaken = message.epoch() == sibling.epoch && message.commitment() != null && !newer;
-        if (newer || overtaken) {
+        // Of two that speak for a child in one epoch, the one that may bind it counts.
+        boolean binding = message.commitment() != null;
+        if (message.epoch() > sibling.epoch || message.epoch() == sibling.epoch && binding) {
             sibling.epoch = message.epoch();
             sibling.speaker = message.speaker();
+            sibling.previousVersion = false;
             sibling.totals = message.totals();
             LoadTeller.apply(message.loads(), routers, sibling.loads);
         }
@@ -203,17 +205,26 @@
         digestPartEpochs[epoch % digestParts.length] = epoch;
     }
 
-    /** Takes the figures of a sibling of the version before: it counts as heard, and commits itself to nothing. */
-    void hearPrevious(int child, int epoch, PreviousVersion.Figures figures) {
+    /**
+     * Takes the figures of a sibling of the version before: it counts as heard, and commits itself to nothing.
+     *
+     * @return false where the sibling has spoken as one of this version lately, so that this can't be its word
+     */
+    boolean hearPrevious(int child, int epoch, PreviousVersion.Figures figures) {
         Sibling sibling = siblings[child];
+        if (!sibling.previousVersion && sibling.epoch >= epoch - Timing.OLDEST_EPOCHS) {
+            return false;
+        }
         boolean older = figures.incarnation() == sibling.incarnation && figures.sequence() <= sibling.sequence;
         if (older && sibling.sequence >= 0) {
-            return;
+            return true;
         }
+        sibling.previousVersion = true;
         sibling.incarnation = figures.incarnation();
         sibling.sequence = figures.sequence();
         sibling.epoch = Math.max(sibling.epoch, epoch);
         sibling.totals = figures.totals();
+        return true;
     }
 
     /** The child's part of the group's movable part in an epoch, from 0 to 1. */
--- a/tier/src/test/java/baymoor/tier/simulation/GroupTier.java
+++ b/tier/src/test/java/baymoor/tier/simulation/GroupTier.java
@@ -7,6 +7,7 @@
 import baymoor.tier.message.Totals;
 import baymoor.tier.place.Places;
 import java.util.Random;
+import java.util.function.IntPredicate;
 
 /**
  * A tier of exchanges in virtual time, with misses drawn for each balancer and a store that is asked as credits allow. Time goes
@@ -127,11 +128,16 @@
         return runs(nodes[balancer]);
     }
 
-    /** The sum of what all that run may fetch, as a part of the allowance. */
+    /** The sum of what all that run may fetch in the present epoch, as a part of the allowance. */
     public double partsTogether() {
+        return partsTogether(b -> true);
+    }
+
+    /** The same of some of them. */
+    public double partsTogether(IntPredicate which) {
         double sum = 0;
-        for (Node node : nodes) {
-            sum += node.down ? 0 : node.exchange.part(clock(node));
+        for (int b = 0; b < nodes.length; b++) {
+            sum += nodes[b].down || !which.test(b) ? 0 : nodes[b].exchange.part(now);
         }
         return sum;
     }
--- /dev/null
+++ b/tier/src/test/java/merlinstep/FullMesh.java
@@ -0,0 +1,266 @@
+package merlinstep;
+
+import baymoor.tier.place.Places;
+import baymoor.tier.simulation.Network;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import merlinstep.Decisions.Action;
+import merlinstep.Decisions.AttemptEnded;
+import merlinstep.Decisions.Effect;
+import merlinstep.Decisions.Event;
+import merlinstep.Decisions.Goal;
+import merlinstep.Decisions.Group;
+import merlinstep.Decisions.Limits;
+import merlinstep.Decisions.ListKind;
+import merlinstep.Decisions.Membership;
+import merlinstep.Decisions.Mode;
+import merlinstep.Decisions.Origin;
+import merlinstep.Decisions.Outcome;
+import merlinstep.Decisions.PeerMessage;
+import merlinstep.Decisions.Prices;
+import merlinstep.Decisions.Reports;
+import merlinstep.Decisions.Request;
+import merlinstep.Decisions.RequestClass;
+import merlinstep.Decisions.RuleFigures;
+import merlinstep.Decisions.Send;
+import merlinstep.Decisions.Server;
+import merlinstep.Decisions.ServerList;
+import merlinstep.Decisions.SetTimer;
+import merlinstep.Decisions.Settings;
+import merlinstep.Decisions.State;
+import merlinstep.Decisions.TellPeer;
+import merlinstep.Decisions.Tenant;
+import merlinstep.Decisions.TimerFired;
+import merlinstep.Decisions.Weights;
+
+/**
+ * A tier of today's decision modules in virtual time, each of which tells all others. Requests hit a router or miss; the store
+ * answers quickly up to its capacity. For comparison with the exchange in groups.
+ */
+public final class FullMesh {
+
+    public static final long SECOND = 1_000_000;
+    private static final long ORIGIN = 99_999;
+    private static final long STEP = 10_000;
+    private static final long HIT_MICROS = 350_000;
+    private static final long STORE_MICROS = 100_000;
+    private static final long LATE_STORE_MICROS = 1_200_000;
+    private static final double NANOS = 1e9;
+
+    private record Later(long at, long number, Runnable what) {}
+
+    private final class Node {
+        Rules rules;
+        long timerAt = Long.MAX_VALUE;
+        boolean down;
+        double missesPerSecond;
+        final long[] heardSentMicros;
+
+        Node(int balancers) {
+            heardSentMicros = new long[balancers];
+        }
+    }
+
+    public final Network network;
+    public long now = 1_000 * SECOND;
+    public long fetchedInSecond;
+    /** Processor time of what other balancers' messages and the ticks cost. */
+    public long controlNanos;
+
+    private final Node[] nodes;
+    private final PriorityQueue<Later> later =
+            new PriorityQueue<>(Comparator.comparingLong(Later::at).thenComparingLong(Later::number));
+    private final Random random;
+    private final int routers;
+    private final double hitsPerSecond;
+    private final double storePerSecond;
+    private long numbers;
+    private long fetchedBefore;
+
+    public FullMesh(Places places, int routers, double hitsPerSecond, double storePerSecond, long seed) {
+        this.routers = routers;
+        this.hitsPerSecond = hitsPerSecond;
+        this.storePerSecond = storePerSecond;
+        random = new Random(seed);
+        network = new Network(places, seed + 1);
+        nodes = new Node[places.balancers()];
+        for (int b = 0; b < nodes.length; b++) {
+            nodes[b] = new Node(nodes.length);
+            start(b);
+        }
+    }
+
+    public void start(int balancer) {
+        Node node = nodes[balancer];
+        node.down = false;
+        node.rules = new Rules(settings(balancer, nodes.length, storePerSecond));
+        List<Server> servers = new ArrayList<>();
+        for (int i = 1; i <= routers; i++) {
+            servers.add(new Server(i, 1, "plain", State.RUNNING, "here", 0, i / 3));
+        }
+        servers.add(new Server(ORIGIN, 1, "origin", State.RUNNING, "here", 0, 0));
+        event(balancer, new ServerList(ListKind.LAST_KNOWN, 1, servers));
+    }
+
+    public void kill(int balancer) {
+        nodes[balancer].down = true;
+    }
+
+    public void misses(int balancer, double perSecond) {
+        nodes[balancer].missesPerSecond = perSecond;
+    }
+
+    /** The highest of the allowances that anyone goes by. */
+    public double allowance() {
+        double most = 0;
+        for (Node node : nodes) {
+            most = node.down ? most : Math.max(most, node.rules.budget.effective());
+        }
+        return most;
+    }
+
+    /** How old what one balancer knows of another is, in seconds; NaN where it has heard nothing. */
+    public double age(int of, int at) {
+        long sent = nodes[at].heardSentMicros[of];
+        return sent == 0 ? Double.NaN : (now - sent) / (double) SECOND;
+    }
+
+    private void event(int balancer, Event event) {
+        boolean control = event instanceof PeerMessage || event instanceof TimerFired;
+        Node node = nodes[balancer];
+        List<Action> actions = new ArrayList<>();
+        long before = System.nanoTime();
+        node.rules.decide(now, event, actions::add);
+        controlNanos += control ? System.nanoTime() - before : 0;
+        for (Action action : actions) {
+            act(balancer, node, action);
+        }
+    }
+
+    private void act(int balancer, Node node, Action action) {
+        if (action instanceof SetTimer timer) {
+            node.timerAt = now + timer.delayMicros();
+        } else if (action instanceof TellPeer told) {
+            for (int to = 0; to < nodes.length; to++) {
+                if (to != balancer) {
+                    network.send(now, balancer, to, told.content());
+                }
+            }
+        } else if (action instanceof Send send && send.server() == ORIGIN) {
+            fetchedInSecond++;
+            long micros = fetchedBefore > storePerSecond ? LATE_STORE_MICROS : STORE_MICROS;
+            after(micros, () -> end(balancer, node.rules, send, Outcome.SERVED, micros));
+        } else if (action instanceof Send send) {
+            boolean hit = send.request().startsWith("h");
+            Outcome outcome = hit ? Outcome.SERVED : Outcome.MISS;
+            long micros = hit ? HIT_MICROS : STEP;
+            after(micros, () -> end(balancer, node.rules, send, outcome, micros));
+        }
+    }
+
+    private void after(long micros, Runnable what) {
+        later.add(new Later(now + micros, numbers++, what));
+    }
+
+    private void end(int balancer, Rules process, Send send, Outcome outcome, long micros) {
+        if (nodes[balancer].rules == process && !nodes[balancer].down) {
+            boolean done = outcome == Outcome.SERVED;
+            int note = done ? 0 : 2;
+            event(
+                    balancer,
+                    new AttemptEnded(send.request(), 0, send.server(), outcome, micros, done, note, new double[0]));
+        }
+    }
+
+    /** Lets time pass by whole steps. */
+    public void pass(long micros) {
+        for (long end = now + micros; now < end; ) {
+            now += STEP;
+            network.deliver(now, this::receive);
+            while (!later.isEmpty() && later.peek().at() <= now) {
+                later.poll().what().run();
+            }
+            for (int b = 0; b < nodes.length; b++) {
+                if (!nodes[b].down) {
+                    work(b, nodes[b]);
+                }
+            }
+            if (now % SECOND == 0) {
+                fetchedBefore = fetchedInSecond;
+            }
+        }
+    }
+
+    private void receive(int from, int to, byte[] datagram) {
+        if (!nodes[to].down) {
+            // The delay is known here; what it says is as old as that.
+            nodes[to].heardSentMicros[from] = now - network.delayMicros(from, to);
+            event(to, new PeerMessage(from, datagram));
+        }
+    }
+
+    private void work(int balancer, Node node) {
+        while (node.timerAt <= now) {
+            node.timerAt = Long.MAX_VALUE;
+            event(balancer, new TimerFired(1));
+        }
+        arrive(balancer, "h", hitsPerSecond);
+        arrive(balancer, "m", node.missesPerSecond);
+    }
+
+    private void arrive(int balancer, String kind, double perSecond) {
+        double mean = perSecond * STEP / SECOND;
+        for (double p = random.nextDouble(); p > Math.exp(-mean); p *= random.nextDouble()) {
+            event(
+                    balancer,
+                    new Request(
+                            kind + numbers++,
+                            "read",
+                            "t",
+                            true,
+                            random.nextLong(),
+                            now + 1_500_000,
+                            0,
+                            0,
+                            false,
+                            false));
+        }
+    }
+
+    /** The share of a core that control takes at each balancer. */
+    public double controlShare(double seconds) {
+        return controlNanos / NANOS / seconds / nodes.length;
+    }
+
+    private static Settings settings(int index, int balancers, double storePerSecond) {
+        List<RequestClass> classes =
+                List.of(new RequestClass("read", 800_000, 0, 1_500_000, Effect.SAFE, Group.ALL, 0, 2, 0, false));
+        return new Settings(
+                index,
+                balancers,
+                42 + index,
+                "here",
+                List.of("here"),
+                List.of("plain", "origin"),
+                List.of("tier"),
+                0,
+                classes,
+                List.of(new Tenant("t", 1, 4 * storePerSecond)),
+                Membership.PUSH,
+                new Origin(Mode.ASIDE, 1, 3, 3 * SECOND),
+                new Limits(6, 20_000, false, true, false, true, true, 2 * SECOND, 150_000, 30 * SECOND, 1, 0, 0),
+                new RuleFigures(20_000, SECOND, 10 * SECOND, 0.3, 8 * SECOND, 3, SECOND),
+                new Prices(0, 0, 0, 0, 0, 0, 0, 0, 0.01, 0, 0),
+                new Goal(1, 0, 0, 0),
+                Reports.NONE,
+                List.of(),
+                Weights.NONE,
+                false,
+                0.1,
+                false,
+                5_000);
+    }
+}
