--- a/tier/src/main/java/baymoor/tier/exchange/PartRules.java
+++ b/tier/src/main/java/baymoor/tier/exchange/PartRules.java
@@ -2,6 +2,7 @@
 
 import baymoor.tier.message.Commitment;
 import baymoor.tier.place.Group;
+import baymoor.tier.place.Level;
 import baymoor.tier.place.Places;
 import baymoor.tier.split.Split;
 
@@ -33,6 +34,11 @@
         }
     }
 
+    /** What a child may give away: members of a site all, groups half, so that who follows a lost holder knows of the rest. */
+    int mostGiven(int child) {
+        return group.level() == Level.SITE ? base(child) : base(child) / 2;
+    }
+
     /** A child's part by size alone. */
     int base(int child) {
         return base[child];
@@ -81,8 +87,8 @@
      */
     int units(CommitmentLog log, int child, int acknowledgedEpoch, int givenEpoch, Commitment ownGifts) {
         long units = 0;
-        if (ownGifts != null && owns(log, child, acknowledgedEpoch)) {
-            units += base[child] - ownGifts.given();
+        if (owns(log, child, acknowledgedEpoch)) {
+            units += base[child] - (ownGifts == null ? mostGiven(child) : ownGifts.given());
         }
         for (int other = 0; other < base.length; other++) {
             if (other == child) {
@@ -124,6 +130,6 @@
     }
 
     private long surplus(int child, double[] weights, long[] target) {
-        return weights[child] > 0 ? Math.max(0, base[child] - target[child]) : 0;
+        return weights[child] > 0 ? Math.max(0, Math.min(mostGiven(child), base[child] - target[child])) : 0;
     }
 }
--- a/tier/src/main/java/baymoor/tier/exchange/Sizes.java
+++ b/tier/src/main/java/baymoor/tier/exchange/Sizes.java
@@ -16,11 +16,11 @@
     public static final int BUDGET_BYTES_PER_SECOND = 7_000;
 
     static final int MEMBER_LOADS_APART = 4;
-    static final int MEMBER_LOADS_RUN = 20;
-    static final int GROUP_LOADS_APART = 6;
-    static final int GROUP_LOADS_RUN = 30;
+    static final int MEMBER_LOADS_RUN = 18;
+    static final int GROUP_LOADS_APART = 4;
+    static final int GROUP_LOADS_RUN = 24;
     static final int OUTSIDE_LOADS_APART = 4;
-    static final int OUTSIDE_LOADS_RUN = 30;
+    static final int OUTSIDE_LOADS_RUN = 24;
 
     private static final int MESSAGE_BYTES = 39;
     private static final int COMMITMENT_BYTES = 3;
--- a/tier/src/test/java/baymoor/tier/simulation/GroupTier.java
+++ b/tier/src/test/java/baymoor/tier/simulation/GroupTier.java
@@ -45,6 +45,9 @@
     public long fetchedInSecond;
 
     public long fetched;
+    /** Processor time that the exchanges take. */
+    public long controlNanos;
+
     private final Node[] nodes;
     private final Random random;
     private final long stepMicros;
@@ -158,7 +161,9 @@
     private void receive(int from, int to, byte[] datagram) {
         Node node = nodes[to];
         if (runs(node)) {
+            long before = System.nanoTime();
             node.exchange.hear(clock(node), from, datagram, (b, d) -> network.send(now, to, b, d));
+            controlNanos += System.nanoTime() - before;
         }
     }
 
@@ -167,7 +172,9 @@
         serve(node, clock);
         if (clock >= node.exchange.nextMicros()) {
             node.exchange.report(figures(node), node.loads);
+            long before = System.nanoTime();
             node.exchange.advance(clock, (b, d) -> network.send(now, balancer, b, d));
+            controlNanos += System.nanoTime() - before;
         }
     }
 
@@ -202,6 +209,9 @@
     }
 
     private Totals figures(Node node) {
+        if (node.learnedRate == 0) {
+            node.learnedRate = node.exchange.rate(clock(node)); // as today: who has learnt nothing goes by the others
+        }
         double wanted = Math.max(EMPTY_QUEUE_WEIGHT, node.queued + node.fetchedLast);
         node.demand = (node.demand + wanted) / 2;
         long age = (now - START) / (SECOND / 10);
