--- a/tier/src/test/java/baymoor/tier/simulation/FaultsTest.java
+++ b/tier/src/test/java/baymoor/tier/simulation/FaultsTest.java
@@ -238,6 +238,18 @@
         assertTrue(tier.partsTogether() > 0.9);
     }
 
+    @Example
+    void withoutAHolderMembersHaveTheirGuaranteedPart() {
+        GroupTier tier = settled(20, 11);
+        for (int b = 0; b < 6; b++) {
+            tier.kill(b); // six of the ten of a site
+        }
+        tier.pass(12 * SECOND);
+        assertEquals(-1, tier.exchange(7).siteHolder(tier.now));
+        assertEquals(Exchange.GUARANTEED_PART / 20, tier.exchange(7).part(tier.now), 1e-9);
+        assertTrue(tier.partsTogether() <= 1 + ROUNDING);
+    }
+
     @Example
     void aDeadBalancerIsDealtOutAgainWithinItsSite() {
         GroupTier tier = settled(20, 8);
--- a/tier/src/test/java/baymoor/tier/simulation/ScaleComparison.java
+++ b/tier/src/test/java/baymoor/tier/simulation/ScaleComparison.java
@@ -251,6 +251,24 @@
         }
     }
 
+    /** The heap that a tier's exchanges take, with all else of the simulation, for each balancer. */
+    @Test
+    public void memory() {
+        for (int balancers : sizes()) {
+            Places places = TestPlaces.of(balancers);
+            long before = usedHeap();
+            GroupTier tier = groups(places, 16);
+            tier.pass(SETTLED_SECONDS * SECOND);
+            double each = (usedHeap() - before) / 1024.0 / balancers;
+            print("| %d | %.1f KB for each of %d |", balancers, each, tier.places.balancers());
+        }
+    }
+
+    private static long usedHeap() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
     /** One fault after another, in groups. */
     @Test
     public void faults() {
