--- a/balancer/src/main/java/baymoor/south/Host.java
+++ b/balancer/src/main/java/baymoor/south/Host.java
@@ -4,15 +4,15 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
-/** A south side host and its connections. */
+/** A router or the origin, with its idle connections and the attempts that wait for one. */
 final class Host {
     final long id;
     InetSocketAddress address;
-    /** Idle connections, the one used last at the end: that one is taken first, so that the others may age and go. */
-    final Deque<Lane> idle = new ArrayDeque<>();
+    /** Idle connections, the most recently used one last. That one is reused first, so that surplus connections time out. */
+    final Deque<HostConnection> idle = new ArrayDeque<>();
 
-    final Deque<Relay> waiting = new ArrayDeque<>();
-    int lanes;
+    final Deque<Attempt> waiting = new ArrayDeque<>();
+    int connectionCount;
     private final South south;
 
     Host(long id, South south) {
@@ -20,40 +20,40 @@
         this.south = south;
     }
 
-    /** A connection has nothing to do. */
-    void free(Lane lane) {
-        lane.idleSinceMicros = south.time.now();
-        idle.addLast(lane);
-        south.resting.add(this);
+    /** Adds a connection to the idle ones. */
+    void release(HostConnection connection) {
+        connection.idleSinceMicros = south.time.now();
+        idle.addLast(connection);
+        south.hostsWithIdle.add(this);
         south.serveWaiting();
     }
 
-    /** The idle connection used last, or null. */
-    Lane takeIdle() {
-        Lane lane = idle.pollLast();
-        while (lane != null && !lane.clean()) {
-            lane.close();
-            lane = idle.pollLast();
+    /** Removes and returns the most recently used idle connection that can be reused, or null. */
+    HostConnection takeIdle() {
+        HostConnection connection = idle.pollLast();
+        while (connection != null && !connection.reusable()) {
+            connection.close();
+            connection = idle.pollLast();
         }
         rested();
-        return lane;
+        return connection;
     }
 
-    /** A connection is no longer one that may be taken. */
-    void dropIdle(Lane lane) {
-        idle.remove(lane);
+    /** Removes a connection from the idle ones, if it is one of them. */
+    void dropIdle(HostConnection connection) {
+        idle.remove(connection);
         rested();
     }
 
     private void rested() {
         if (idle.isEmpty()) {
-            south.resting.remove(this);
+            south.hostsWithIdle.remove(this);
         }
     }
 
     void closeIdle() {
-        for (Lane lane : idle.toArray(new Lane[0])) {
-            lane.close();
+        for (HostConnection connection : idle.toArray(new HostConnection[0])) {
+            connection.close();
         }
     }
 }
--- a/balancer/src/main/java/baymoor/south/South.java
+++ b/balancer/src/main/java/baymoor/south/South.java
@@ -17,18 +17,20 @@
 import merlinstep.Decisions.Outcome;
 import merlinstep.Decisions.State;
 
-/** The hosts of the south side: starts relays, bounds their connections and time, and tells how each ended. */
+/** The south side: sends attempts to hosts, bounds their connections and time, and reports how each of them ended. */
 public final class South {
 
-    /** Hears how relays and probes ended; never while one of this class's methods is being called. */
-    public interface Ends {
-        void relayEnded(String request, int attempt, long host, Reply reply, long latencyMicros);
+    /** Is told how attempts and probes ended; never from within a call to a method of this class. */
+    public interface Listener {
+        /** An attempt has ended, and nothing of it can reach the host any more. */
+        void attemptEnded(String request, int attempt, long host, Reply reply, long latencyMicros);
 
+        /** A probe has ended. */
         void probeEnded(long host, Reply reply, long latencyMicros);
     }
 
     private static final long SWEEP_MICROS = 1_000_000;
-    /** A connection is given up this long before the other side may close it: a request would cross that. */
+    /** An idle connection is closed this long before the host may close it, since a request could cross the host's close. */
     private static final long IDLE_MARGIN_MICROS = 3_000_000;
 
     private static final long PROBE_MICROS = 400_000;
@@ -40,30 +42,30 @@
     final Counters counters;
     final long connectMicros;
     /**
-     * Seen: a length larger than what follows. An answer that has begun and then stops for so long is spoilt; aims
-     * are little longer than the time for a connection, so only a part of that leaves time to try again.
+     * An answer that has begun and then pauses for this long fails: hosts have been observed to announce more bytes than they
+     * send. The aims of requests are little longer than the connect time-out, so a part of it leaves time for another attempt.
      */
     final long stallMicros;
 
     private final LongFunction<Inventory.Entry> inventory;
     private final String originKind;
     private final List<String> reportFields;
-    private final Ends ends;
+    private final Listener listener;
     private final long idleMicros;
-    private final int mostLanes;
+    private final int maxConnections;
     private final Map<Long, Host> hosts = new LinkedHashMap<>();
-    private final Map<String, Relay> relays = new HashMap<>();
-    /** Hosts for which something waits: a fleet may have a thousand that nothing waits for. */
-    private final Set<Host> wanted = new LinkedHashSet<>();
+    private final Map<String, Attempt> attempts = new HashMap<>();
+    /** Hosts with attempts that wait for a connection; kept apart, as a fleet may have a thousand hosts without any. */
+    private final Set<Host> hostsWithWaiting = new LinkedHashSet<>();
     /** Hosts with idle connections. */
-    final Set<Host> resting = new LinkedHashSet<>();
+    final Set<Host> hostsWithIdle = new LinkedHashSet<>();
 
-    private boolean serving;
-    int lanes;
+    private boolean servingScheduled;
+    int connectionCount;
 
     /**
      * @param originKind the kind in the inventory that marks the origin, or null
-     * @param mostLanes  bound of all connections together
+     * @param maxConnections bound of all connections together
      */
     public South(
             Dialer dialer,
@@ -73,16 +75,16 @@
             String originKind,
             List<String> reportFields,
             Limits limits,
-            int mostLanes,
-            Ends ends) {
+            int maxConnections,
+            Listener listener) {
         this.dialer = dialer;
         this.time = time;
         this.counters = counters;
         this.inventory = inventory;
         this.originKind = originKind;
         this.reportFields = reportFields;
-        this.mostLanes = mostLanes;
-        this.ends = ends;
+        this.maxConnections = maxConnections;
+        this.listener = listener;
         connectMicros = limits.connectTimeoutMicros() > 0 ? limits.connectTimeoutMicros() : SWEEP_MICROS;
         stallMicros = connectMicros / STALL_PART;
         long idle = limits.idleCloseMicros() > 0 ? limits.idleCloseMicros() : Long.MAX_VALUE;
@@ -91,51 +93,57 @@
     }
 
     /**
-     * Starts an attempt; its end follows as an event, also where it can't even be sent.
+     * Starts an attempt. Its end is always reported to the listener, also if it can't be sent.
      *
-     * @param wanted asked as its bytes are about to leave, which may be long after this: whether it may still begin
+     * @param wanted whether the attempt may still begin, asked right before it is written, which may be much later
      */
-    public void send(String request, int attempt, long id, Parcel parcel, long untilMicros, BooleanSupplier wanted) {
+    public void send(
+            String request,
+            int attemptNumber,
+            long id,
+            RequestContent content,
+            long deadlineMicros,
+            BooleanSupplier wanted) {
         counters.add(Count.RELAYS);
-        Relay relay = new Relay(request, attempt, host(id), parcel, time.now(), untilMicros, wanted);
-        relays.put(name(request, attempt), relay);
-        start(relay);
+        Attempt attempt = new Attempt(request, attemptNumber, host(id), content, time.now(), deadlineMicros, wanted);
+        attempts.put(key(request, attemptNumber), attempt);
+        start(attempt);
     }
 
-    /** Asks a host for its load report. */
+    /** Asks a host for its load report, or for a sign of life. */
     public void probe(long id) {
         counters.add(Count.PROBES);
-        start(new Relay(null, 0, host(id), null, time.now(), time.now() + PROBE_MICROS, () -> true));
+        start(new Attempt(null, 0, host(id), null, time.now(), time.now() + PROBE_MICROS, () -> true));
     }
 
-    private void start(Relay relay) {
-        if (relay.host.address == null) { // no list has named it
-            time.after(0, () -> end(relay, Reply.without(Outcome.NOT_SENT)));
+    private void start(Attempt attempt) {
+        if (attempt.host.address == null) { // no list has named it
+            time.after(0, () -> end(attempt, Reply.without(Outcome.NOT_SENT)));
             return;
         }
-        relay.timer = time.after(relay.untilMicros - time.now(), () -> giveUp(relay, Outcome.TIMED_OUT));
-        relay.host.waiting.addLast(relay);
-        wanted.add(relay.host);
-        place(relay.host);
+        attempt.timer = time.after(attempt.deadlineMicros - time.now(), () -> abort(attempt, Outcome.TIMED_OUT));
+        attempt.host.waiting.addLast(attempt);
+        hostsWithWaiting.add(attempt.host);
+        place(attempt.host);
     }
 
-    /** Stops waiting for an attempt; its end follows. */
-    public void cancel(String request, int attempt) {
-        Relay relay = relays.get(name(request, attempt));
-        if (relay != null) {
-            time.after(0, () -> giveUp(relay, Outcome.CANCELLED));
+    /** Aborts an attempt. Its end is reported to the listener. */
+    public void cancel(String request, int attemptNumber) {
+        Attempt attempt = attempts.get(key(request, attemptNumber));
+        if (attempt != null) {
+            time.after(0, () -> abort(attempt, Outcome.CANCELLED));
         }
     }
 
-    /** An attempt is not wanted any more: it leaves the queue for a connection; what has begun ends by itself. */
-    public void withdraw(String request, int attempt) {
-        Relay relay = relays.get(name(request, attempt));
-        if (relay != null && relay.host.waiting.remove(relay)) {
-            time.after(0, () -> end(relay, Reply.without(Outcome.NOT_SENT)));
+    /** Removes an attempt from the queue for a connection; one that has been written goes on. */
+    public void withdraw(String request, int attemptNumber) {
+        Attempt attempt = attempts.get(key(request, attemptNumber));
+        if (attempt != null && attempt.host.waiting.remove(attempt)) {
+            time.after(0, () -> end(attempt, Reply.without(Outcome.NOT_SENT)));
         }
     }
 
-    /** Closes what is idle at a host. */
+    /** Closes the idle connections to a host. */
     public void closeIdle(long id) {
         Host host = hosts.get(id);
         if (host != null) {
@@ -143,7 +151,7 @@
         }
     }
 
-    /** The inventory has changed: idle connections to hosts that take nothing new are of no use. */
+    /** The inventory has changed: closes idle connections to hosts that take no new requests. */
     public void listed() {
         for (Host host : hosts.values()) {
             if (!runs(host)) {
@@ -157,20 +165,20 @@
         return entry != null && entry.state() == State.RUNNING;
     }
 
-    /** Whether something is out or queued for a host, or a connection to it still open. */
+    /** Whether a host has attempts that are sent or queued, or open connections. */
     public boolean uses(long id) {
         return hosts.containsKey(id);
     }
 
-    private void giveUp(Relay relay, Outcome outcome) {
-        if (relay.over) {
+    private void abort(Attempt attempt, Outcome outcome) {
+        if (attempt.ended) {
             return;
         }
-        if (relay.lane != null) {
-            relay.lane.giveUp(outcome);
+        if (attempt.connection != null) {
+            attempt.connection.abort(outcome);
         } else {
-            relay.host.waiting.remove(relay);
-            end(relay, Reply.without(outcome == Outcome.TIMED_OUT ? Outcome.NOT_CONNECTED : outcome));
+            attempt.host.waiting.remove(attempt);
+            end(attempt, Reply.without(outcome == Outcome.TIMED_OUT ? Outcome.NOT_CONNECTED : outcome));
         }
     }
 
@@ -187,53 +195,53 @@
         return host;
     }
 
-    /** Whether a relay may still begin at a host: not where that drains or is gone by now, nor for a client that is. */
-    boolean mayStart(Relay relay) {
-        return relay.wanted() && runs(relay.host) && time.now() < relay.untilMicros;
+    /** Whether an attempt may still be sent: its request needs it, its host takes requests, and its deadline has not passed. */
+    boolean mayBegin(Attempt attempt) {
+        return attempt.wanted() && runs(attempt.host) && time.now() < attempt.deadlineMicros;
     }
 
-    /** Finds connections for what waits at a host: idle ones first, then new ones within the bound. */
+    /** Assigns connections to the attempts that wait for a host: idle ones first, then new ones within the bound. */
     private void place(Host host) {
         while (!host.waiting.isEmpty()) {
-            Lane lane = host.takeIdle();
-            if (lane != null) {
-                lane.carry(host.waiting.pollFirst());
-            } else if (lanes < mostLanes || evict(host)) {
-                lanes++;
-                host.lanes++;
+            HostConnection connection = host.takeIdle();
+            if (connection != null) {
+                connection.assign(host.waiting.pollFirst());
+            } else if (connectionCount < maxConnections || evict(host)) {
+                connectionCount++;
+                host.connectionCount++;
                 boolean origin = inventory.apply(host.id).kind().equals(originKind);
                 String at = host.address.getAddress().getHostAddress() + ":" + host.address.getPort();
                 Codec codec = origin ? new OriginCodec(at, reportFields) : new RouterCodec(reportFields);
-                new Lane(this, host, codec, host.waiting.pollFirst()).dial();
+                new HostConnection(this, host, codec, host.waiting.pollFirst()).dial();
             } else {
                 return;
             }
         }
-        wanted.remove(host);
+        hostsWithWaiting.remove(host);
     }
 
     /**
-     * Makes room for a connection by closing one that is idle at another host. Until that close is through there are a
-     * few connections too many. Seen: with a thousand hosts as many as there were hosts, far past the descriptors.
+     * Makes room for a connection by closing an idle one of another host. Until that close has completed the bound is exceeded;
+     * by how much is limited, as a thousand hosts once held as many surplus connections, far more than there are descriptors.
      */
     private boolean evict(Host wanting) {
-        for (Host host : resting) {
+        for (Host host : hostsWithIdle) {
             if (host != wanting) {
                 host.idle.peekFirst().close();
-                return lanes < mostLanes + MOST_CLOSING;
+                return connectionCount < maxConnections + MOST_CLOSING;
             }
         }
         return false;
     }
 
-    /** Looks, after the present event, whether what waits can be sent. */
+    /** Assigns connections to all waiting attempts, after the current event has been handled. */
     void serveWaiting() {
-        if (!serving && !wanted.isEmpty()) {
-            serving = true;
+        if (!servingScheduled && !hostsWithWaiting.isEmpty()) {
+            servingScheduled = true;
             time.after(0, () -> {
-                serving = false;
-                for (Host host : List.copyOf(wanted)) {
-                    if (lanes >= mostLanes && resting.isEmpty()) {
+                servingScheduled = false;
+                for (Host host : List.copyOf(hostsWithWaiting)) {
+                    if (connectionCount >= maxConnections && hostsWithIdle.isEmpty()) {
                         break;
                     }
                     place(host);
@@ -242,21 +250,21 @@
         }
     }
 
-    /** Tells the end of a relay, which no later event may do again. */
-    void end(Relay relay, Reply reply) {
-        if (relay.over) {
+    /** Reports the end of an attempt to the listener, once. */
+    void end(Attempt attempt, Reply reply) {
+        if (attempt.ended) {
             return;
         }
-        relay.over = true;
-        if (relay.timer != null) {
-            relay.timer.cancel();
+        attempt.ended = true;
+        if (attempt.timer != null) {
+            attempt.timer.cancel();
         }
-        long latency = time.now() - relay.startedMicros;
-        if (relay.probe()) {
-            ends.probeEnded(relay.host.id, reply, latency);
+        long latency = time.now() - attempt.startedMicros;
+        if (attempt.probe()) {
+            listener.probeEnded(attempt.host.id, reply, latency);
             return;
         }
-        relays.remove(name(relay.request, relay.attempt));
+        attempts.remove(key(attempt.requestId, attempt.number));
         counters.add(
                 switch (reply.outcome()) {
                     case SERVED -> Count.RELAYS_SERVED;
@@ -269,22 +277,22 @@
                     case CANCELLED -> Count.RELAYS_CANCELLED;
                     case NOT_SENT -> Count.RELAYS_NOT_SENT;
                 });
-        ends.relayEnded(relay.request, relay.attempt, relay.host.id, reply, latency);
+        listener.attemptEnded(attempt.requestId, attempt.number, attempt.host.id, reply, latency);
     }
 
-    private static String name(String request, int attempt) {
-        return attempt + "/" + request;
+    private static String key(String request, int attemptNumber) {
+        return attemptNumber + "/" + request;
     }
 
     private void sweep() {
         time.after(SWEEP_MICROS, this::sweep);
         listed();
-        hosts.values().removeIf(h -> !runs(h) && h.lanes == 0 && h.waiting.isEmpty());
-        wanted.removeIf(h -> h.waiting.isEmpty()); // what waited there was given up
+        hosts.values().removeIf(h -> !runs(h) && h.connectionCount == 0 && h.waiting.isEmpty());
+        hostsWithWaiting.removeIf(h -> h.waiting.isEmpty()); // their attempts have timed out
         for (Host host : hosts.values()) {
-            for (Lane lane : host.idle.toArray(new Lane[0])) {
-                if (time.now() - lane.idleSinceMicros > idleMicros) {
-                    lane.close();
+            for (HostConnection connection : host.idle.toArray(new HostConnection[0])) {
+                if (time.now() - connection.idleSinceMicros > idleMicros) {
+                    connection.close();
                 }
             }
         }
--- a/emulator/src/main/java/baymoor/emulator/world/Clients.java
+++ b/emulator/src/main/java/baymoor/emulator/world/Clients.java
@@ -203,13 +203,13 @@
         }
     }
 
-    /** One thing that a client wants, through all its tries. */
+    /** One profile that a client wants, through all its tries. */
     private final class Request {
         private final Zone zone;
         private final RequestClass kind;
         private final String tenant;
         private final long key;
-        private final Catalogue.Thing thing;
+        private final Catalogue.KeyProfile profile;
         private final String idempotency;
         private final long hint;
         private final long firstAsked;
@@ -223,9 +223,9 @@
             long usual =
                     once ? zone.chance.nextLong() : catalogue.key(zone.ranks.sample() - 1, zone.time.now() - countFrom);
             key = hot > 0 && Draw.chance(zone.chance, hot) ? hotKey : usual;
-            thing = catalogue.thing(key);
+            profile = catalogue.profile(key);
             idempotency = kind.effect() == Effect.KEYED ? Catalogue.name(zone.chance.nextLong()) : null;
-            hint = (long) (catalogue.work(kind, thing) * (1 + HINT_ERROR * (2 * zone.chance.nextDouble() - 1)));
+            hint = (long) (catalogue.work(kind, profile) * (1 + HINT_ERROR * (2 * zone.chance.nextDouble() - 1)));
             firstAsked = zone.time.now();
             open++;
         }
@@ -245,7 +245,7 @@
         }
 
         private double worth() {
-            return kind.worth() * catalogue.work(kind, thing) / 1e6;
+            return kind.worth() * catalogue.work(kind, profile) / 1e6;
         }
 
         void end(Tally.End end) {
@@ -275,7 +275,7 @@
         private final String id;
         private final long gone;
         private final long askedAt;
-        private final Time.Timer patience;
+        private final Time.Timer timeout;
         private final Time.Timer leaves;
         private Connection on;
         private boolean over;
@@ -292,7 +292,7 @@
             Scenario.Traffic t = scenario.traffic();
             double share = t.leastTry() + zone.chance.nextDouble() * (t.mostTry() - t.leastTry());
             gone = askedAt + (long) (request.kind.giveUpMicros() * share);
-            patience = zone.time.after(gone + slack - askedAt, this::givenUp);
+            timeout = zone.time.after(gone + slack - askedAt, this::givenUp);
             boolean impatient = Draw.chance(zone.chance, t.impatient());
             double leave = EARLIEST_LEAVE + zone.chance.nextDouble() * (LATEST_LEAVE - EARLIEST_LEAVE);
             leaves = impatient ? zone.time.after((long) ((gone - askedAt) * leave), this::leave) : null;
@@ -318,14 +318,14 @@
             if (request.idempotency != null) {
                 facts.append(",k=").append(request.idempotency);
             }
-            if (request.retried && scenario.told().retries()) {
+            if (request.retried && scenario.moduleSettings().retries()) {
                 facts.append(",r=1");
             }
-            if (scenario.told().work()) {
+            if (scenario.moduleSettings().work()) {
                 facts.append(",h=").append(request.hint);
             }
-            if (scenario.told().sizes()) {
-                facts.append(",size=").append(request.thing.size());
+            if (scenario.moduleSettings().sizes()) {
+                facts.append(",size=").append(request.profile.size());
             }
             byte[] key = RespWriter.ascii(Catalogue.name(request.key));
             byte[] list = RespWriter.ascii(facts.toString());
@@ -335,7 +335,7 @@
                             key,
                             RespWriter.ascii(id),
                             list,
-                            Values.value(Catalogue.name(request.key), id, request.thing.size()))
+                            Values.value(Catalogue.name(request.key), id, request.profile.size()))
                     : RespWriter.command(RespWriter.ascii("OBJ.GET"), key, RespWriter.ascii(id), list);
         }
 
@@ -357,7 +357,7 @@
 
         private void settle() {
             over = true;
-            patience.cancel();
+            timeout.cancel();
             if (leaves != null) {
                 leaves.cancel();
             }
@@ -366,15 +366,15 @@
         void answered(Resp answer) {
             settle();
             if (answer instanceof Resp.Bulk bulk && bulk.bytes() != null) {
-                judge.answered(id, Judge.Kind.SERVED, bulk.bytes());
+                judge.answered(id, Judge.AnswerKind.SERVED, bulk.bytes());
                 boolean inTime = zone.time.now() - request.firstAsked <= request.kind.aimMicros();
                 request.end(inTime ? Tally.End.IN_TIME : Tally.End.LATE);
             } else if (answer instanceof Resp.Failure f && f.text().startsWith("BUSY")) {
-                judge.answered(id, Judge.Kind.REFUSED, null);
+                judge.answered(id, Judge.AnswerKind.REFUSED, null);
                 String wait = f.text().substring("BUSY".length()).strip();
                 request.failed(Tally.End.REFUSED, wait.matches("[0-9]{1,9}") ? Long.parseLong(wait) * 1000 : 0);
             } else {
-                judge.answered(id, Judge.Kind.FAILED, null);
+                judge.answered(id, Judge.AnswerKind.FAILED, null);
                 request.failed(Tally.End.FAILED, 0);
             }
         }
@@ -487,7 +487,8 @@
         /** An answer that nobody asked for: one too many for the last try, and the end of this connection. */
         private void surplus(Resp answer) {
             if (last != null) {
-                judge.answered(last, answer instanceof Resp.Bulk ? Judge.Kind.SERVED : Judge.Kind.FAILED, null);
+                judge.answered(
+                        last, answer instanceof Resp.Bulk ? Judge.AnswerKind.SERVED : Judge.AnswerKind.FAILED, null);
             }
             zone.idle.get(balancer).remove(this);
             over = true;
