--- a/tier/src/main/java/baymoor/tier/exchange/Exchange.java
+++ b/tier/src/main/java/baymoor/tier/exchange/Exchange.java
@@ -12,7 +12,6 @@
 import baymoor.tier.place.Places;
 import baymoor.tier.split.Draws;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.function.Function;
 
@@ -39,7 +38,7 @@
     private final LoadTeller[] outsideTellers = new LoadTeller[Level.COUNT];
     private final int[] spokenEpoch = new int[Level.COUNT];
     private final int[] heldEpoch = new int[Level.COUNT];
-    private final int[][] knownSpeakers = new int[Level.COUNT][Places.LARGEST_GROUP];
+    private final SpeakerTable speakers;
     private final ExchangeCounters counters = new ExchangeCounters();
     private RouterList routers = RouterList.EMPTY;
     private int[] loads = new int[0];
@@ -60,11 +59,11 @@
         this.timing = timing;
         this.rules = rules;
         draws = new Draws(seed);
+        speakers = new SpeakerTable(places, balancer);
         for (int level = 0; level < Level.COUNT; level++) {
             spokenEpoch[level] = timing.epoch(nowMicros);
             heldEpoch[level] = NEVER;
             outsideTellers[level] = new LoadTeller(Sizes.OUTSIDE_LOADS_APART, Sizes.OUTSIDE_LOADS_RUN);
-            Arrays.fill(knownSpeakers[level], Digest.UNKNOWN);
         }
         members[0] = member(Level.SITE);
     }
@@ -74,7 +73,7 @@
         GroupMember member = new GroupMember(group, places.child(level, balancer), balancer, rules.apply(group), draws);
         member.setRouters(routers);
         for (int child = 0; child < group.children().size(); child++) {
-            member.learnSpeaker(child, knownSpeakers[level.ordinal()][child]);
+            member.learnSpeaker(child, speakers.of(level, child));
         }
         return member;
     }
@@ -183,16 +182,16 @@
     private Digest digest(int level, int epoch) {
         GroupMember above = members[level + 1];
         int first = epoch + Timing.digestLead(Level.of(level));
-        List<Integer> speakers = new ArrayList<>();
+        List<Integer> siblings = new ArrayList<>();
         for (int child = 0; child < above.group.children().size(); child++) {
-            speakers.add(above.speaker(child));
+            siblings.add(above.speaker(child));
         }
         return new Digest(
                 movablePart(level + 1, first),
                 movablePart(level + 1, first + 1),
                 rate(level + 1, epoch),
                 outside(level, epoch),
-                speakers,
+                siblings,
                 outsideTellers[level].next(routers, loadsOutside(level, epoch)));
     }
 
@@ -291,8 +290,7 @@
     }
 
     private void hear(int epoch, int sender, GroupMessage message, byte[] datagram, Outbox out) {
-        Group group = places.group(message.level(), balancer);
-        if (!plausible(group, sender, message)) {
+        if (!speakers.mayHaveSpoken(sender, message)) {
             counters.foreign++;
             return;
         }
@@ -301,7 +299,7 @@
             counters.outOfTime++;
             return;
         }
-        knownSpeakers[message.level().ordinal()][message.child()] = message.speaker();
+        speakers.heard(message);
         GroupMember member = members[message.level().ordinal()];
         if (member == null) {
             passOn(epoch, message, datagram, out);
@@ -309,36 +307,6 @@
         }
         counters.heard++;
         counters.contradictions += member.hear(message) ? 0 : 1;
-        if (message.digest() != null && !message.level().isTop()) {
-            learnSpeakers(message.level().above(), message.digest());
-        }
-    }
-
-    private boolean plausible(Group group, int sender, GroupMessage message) {
-        int children = group.children().size();
-        return message.group() == group.number()
-                && message.child() < children
-                && message.vote() < children
-                && message.child() != places.child(message.level(), balancer)
-                && message.speaker() < places.balancers()
-                && places.group(message.level(), message.speaker()) == group
-                && places.child(message.level(), message.speaker()) == message.child()
-                && message.totals().members() <= group.sizes().get(message.child())
-                && (sender == message.speaker() || message.hops() > 0);
-    }
-
-    private void learnSpeakers(Level above, Digest digest) {
-        Group group = places.group(above, balancer);
-        for (int child = 0;
-                child < Math.min(group.children().size(), digest.speakers().size());
-                child++) {
-            int speaker = digest.speakers().get(child);
-            if (speaker < places.balancers()
-                    && places.group(above, speaker) == group
-                    && places.child(above, speaker) == child) {
-                knownSpeakers[above.ordinal()][child] = speaker;
-            }
-        }
     }
 
     /** A message for who speaks for this balancer's group: passed on to the holder of the lease, as far as that is known. */
--- a/tier/src/test/java/baymoor/tier/exchange/PartRulesExplorationTest.java
+++ b/tier/src/test/java/baymoor/tier/exchange/PartRulesExplorationTest.java
@@ -184,16 +184,18 @@
         Set<List<Integer>> members = explore(PartRules::new, whole, 1, 1);
         assertTrue(groups.size() > 10 && members.size() > 10);
         for (List<Integer> group : groups) {
-            for (List<Integer> first : members) {
-                for (List<Integer> second : members) {
-                    int sum = 0;
-                    for (int member = 0; member < 2; member++) {
-                        sum += group.get(0) * first.get(member) + group.get(1) * second.get(member);
-                    }
-                    assertTrue(sum <= whole * whole);
-                }
-            }
+            members.forEach(
+                    first -> members.forEach(second -> assertTrue(together(group, first, second) <= whole * whole)));
+        }
+    }
+
+    /** Units of units that the members of two groups have together. */
+    private static int together(List<Integer> groups, List<Integer> first, List<Integer> second) {
+        int sum = 0;
+        for (int member = 0; member < first.size(); member++) {
+            sum += groups.get(0) * first.get(member) + groups.get(1) * second.get(member);
         }
+        return sum;
     }
 
     @Example
