--- a/cli/src/main/java/baymoor/cli/Main.java
+++ b/cli/src/main/java/baymoor/cli/Main.java
@@ -26,6 +26,7 @@
             Demo.class,
             Emulate.class,
             KnowledgeCommand.class,
+            PlacesCommand.class,
             Version.class,
             AutoComplete.GenerateCompletion.class
         })
