--- a/cli/src/main/java/baymoor/cli/Main.java
+++ b/cli/src/main/java/baymoor/cli/Main.java
@@ -27,6 +27,7 @@
             Emulate.class,
             KnowledgeCommand.class,
             ScaleCommand.class,
+            PlacesCommand.class,
             Version.class,
             AutoComplete.GenerateCompletion.class
         })
