--- a/cli/src/main/java/baymoor/cli/ScaleFit.java
+++ b/cli/src/main/java/baymoor/cli/ScaleFit.java
@@ -51,6 +51,9 @@
             description = "How far a prediction may be off (${DEFAULT-VALUE}).")
     private double within;
 
+    @Option(names = "--linear", description = "Fit the number of balancers alone, whatever the residuals say.")
+    private boolean linear;
+
     @Option(names = "--json", paramLabel = "OUT", description = "Write slopes and predictions here as JSON.")
     private Path json;
 
@@ -82,7 +85,10 @@
                 throw new BadResult(file + ": is fitted to, so it can't be predicted");
             }
         }
-        return FitReport.of(ModelSelection.fit(runs), others, within / PERCENT);
+        return FitReport.of(
+                ModelSelection.fit(runs, linear ? ModelSelection.Terms.LINEAR : ModelSelection.Terms.CHOSEN),
+                others,
+                within / PERCENT);
     }
 
     private static List<Result> read(List<Path> files) throws BadResult {
--- a/scale/src/main/java/baymoor/scale/fit/ModelSelection.java
+++ b/scale/src/main/java/baymoor/scale/fit/ModelSelection.java
@@ -20,10 +20,23 @@
     /** Runs of at least so many different numbers of balancers are needed for a fit. */
     private static final int SIZES_NEEDED = 3;
 
+    /** Which terms a fit may have. */
+    public enum Terms {
+        /** The number of balancers, and whatever else lowers the error of left-out runs. */
+        CHOSEN,
+        /** The number of balancers alone. */
+        LINEAR
+    }
+
     private ModelSelection() {}
 
     /** Fits every figure that all results have. */
     public static List<FigureFit> fit(List<Result> results) throws BadResult {
+        return fit(results, Terms.CHOSEN);
+    }
+
+    /** Fits every figure that all results have, with terms chosen by the residuals or with the number of balancers alone. */
+    public static List<FigureFit> fit(List<Result> results, Terms terms) throws BadResult {
         long sizes = results.stream()
                 .mapToDouble(result -> result.size(Dimension.BALANCERS))
                 .distinct()
@@ -34,7 +47,7 @@
         }
         List<FigureFit> fits = new ArrayList<>();
         for (String figure : commonFigures(results)) {
-            fits.add(fit(figure, results));
+            fits.add(fit(figure, results, terms));
         }
         if (fits.isEmpty()) {
             throw new BadResult("no figure is in all of the results");
@@ -51,11 +64,11 @@
     /** A set of terms with its fit. */
     private record Model(List<Dimension> dimensions, LeastSquares fit) {}
 
-    private static FigureFit fit(String figure, List<Result> results) {
+    private static FigureFit fit(String figure, List<Result> results, Terms terms) {
         Model linear = model(figure, List.of(Dimension.BALANCERS), results);
         Model quadratic = model(figure, List.of(Dimension.BALANCERS, Dimension.BALANCERS_SQUARED), results);
         Model best = linear;
-        Model better = betterModel(figure, best, results);
+        Model better = terms == Terms.LINEAR ? null : betterModel(figure, best, results);
         while (better != null) {
             best = better;
             better = betterModel(figure, best, results);
--- a/scale/src/test/java/baymoor/scale/fit/ModelSelectionTest.java
+++ b/scale/src/test/java/baymoor/scale/fit/ModelSelectionTest.java
@@ -39,6 +39,12 @@
         assertEquals(0, prediction.error(), 0.2);
     }
 
+    @Test
+    public void aLineCanBeAskedFor() throws BadResult {
+        List<Result> runs = runs(n -> 100 + 3 * n + 0.2 * n * n, 0.01, 7);
+        assertFalse(ModelSelection.fit(runs, ModelSelection.Terms.LINEAR).get(0).quadratic());
+    }
+
     @Test
     public void noiseAloneBringsInNoSquare() throws BadResult {
         int quadratic = 0;
