Test: a machine that holds the thread up for 20 ms no longer changes which event was first

The test set the time-out 20 ms after the moment at which the task began, and handed the answer in later; a thread held up for 20 ms between the two makes the time-out really the first. So the test races, not the program. Ruled out: DecisionThread (it compares the two times). Change: the time-out is set 20 ms after the answer was handed in, by the clock; what is asserted is the same.

--- a/balancer/src/test/java/baymoor/net/DecisionThreadTest.java
+++ b/balancer/src/test/java/baymoor/net/DecisionThreadTest.java
@@ -48,11 +48,13 @@
         List<String> seen = new CopyOnWriteArrayList<>();
         CountDownLatch end = new CountDownLatch(1);
         thread.post(() -> {
-            thread.after(20_000, () -> seen.add("time-out"));
-            thread.after(20_000, end::countDown);
             thread.post(() -> seen.add("answer"));
+            // The clock went on since this task began, by however long the machine held the thread up.
+            long heldUpMicros = thread.read() - thread.now();
+            thread.after(heldUpMicros + 20_000, () -> seen.add("time-out"));
+            thread.after(heldUpMicros + 20_000, end::countDown);
             thread.after(0, () -> seen.add("the event's own"));
-            while (thread.read() < thread.now() + 30_000) {
+            while (thread.read() < thread.now() + heldUpMicros + 30_000) {
                 Thread.onSpinWait();
             }
         });
