A call turned down after a wait may mean that discovery is down as well

Now a call that was turned down, at once or not, counts so where those asked in the last 2 s had no list either. A call from before the word of discovery's return doubles no window.

--- a/balancer/src/main/java/baymoor/inventory/Discovery.java
+++ b/balancer/src/main/java/baymoor/inventory/Discovery.java
@@ -67,6 +67,7 @@
     private boolean resumed;
 
     private long lostMicros;
+    private long resumedMicros = Long.MIN_VALUE;
     /** The watch that has answered, if any, and calls for another, the oldest first. */
     private Call watch;
 
@@ -240,6 +241,7 @@
             return;
         }
         resumed = true;
+        resumedMicros = time.now();
         pacing.resumed();
         if (nextTry != null && moves == 0) {
             nextTry = cancelled(nextTry);
@@ -261,7 +263,9 @@
             watch = null;
             lost();
         } else {
-            pacing.ended(call.ending());
+            if (call.since >= resumedMicros) {
+                pacing.ended(call.ending()); // one from before discovery's return says nothing of how many call now
+            }
             confirmation.failed(call.ending(), call.since, time.now());
         }
         if (call == asked && attending()) {
--- a/balancer/src/main/java/baymoor/inventory/ListConfirmation.java
+++ b/balancer/src/main/java/baymoor/inventory/ListConfirmation.java
@@ -15,8 +15,6 @@
 
     private static final long NEVER = Long.MIN_VALUE / 2;
 
-    /** A call that ends sooner than this has not waited for its turn: discovery may be down. */
-    static final long AT_ONCE_MICROS = 250_000;
     /** How long another balancer's word that it knows no more holds: two of the longest pauses between questions. */
     static final long NONE_KNOWS_MICROS = 2_000_000;
 
@@ -81,13 +79,12 @@
 
     /**
      * A call for the list has failed. Discovery was down then if it took no connection, and may have been if it turned the
-     * call down at once. That also happens where too many call; but then others have a watch, so it counts where none of
-     * those asked had, or there is nobody to ask.
+     * call down, at once or after a wait. That also happens where too many call; but then others have a watch, so it counts
+     * where those asked had none, or there is nobody to ask. A call that stays silent tells nothing: the way there may be cut.
      */
     void failed(CallPacing.End end, long beganMicros, long nowMicros) {
         boolean nobody = !peers || nowMicros - noneKnowsMicros < NONE_KNOWS_MICROS;
-        boolean atOnce = nowMicros - beganMicros < AT_ONCE_MICROS;
-        if (end == CallPacing.End.REFUSED || end == CallPacing.End.TURNED_DOWN && atOnce && nobody) {
+        if (end == CallPacing.End.REFUSED || end == CallPacing.End.TURNED_DOWN && nobody) {
             unreachable(beganMicros);
         }
     }
