--- a/balancer/src/main/java/baymoor/assembly/Assembly.java
+++ b/balancer/src/main/java/baymoor/assembly/Assembly.java
@@ -3,8 +3,11 @@
 import baymoor.config.Settings;
 import baymoor.counters.Counters;
 import baymoor.dispatch.Dispatcher;
+import baymoor.inventory.CallPacing;
 import baymoor.inventory.Discovery;
 import baymoor.inventory.Inventory;
+import baymoor.inventory.ListConfirmation;
+import baymoor.inventory.ListExchange;
 import baymoor.link.Dialer;
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
@@ -20,6 +23,7 @@
 import java.util.function.LongUnaryOperator;
 import java.util.stream.Collectors;
 import merlinstep.Decisions;
+import merlinstep.Decisions.ServerList;
 import org.json.JSONException;
 
 /**
@@ -56,6 +60,11 @@
     private static final long LOOK_MICROS = 10_000;
     /** An agent answers at once, unless discovery is down: then the list of the configuration is the best there is. */
     private static final long FIRST_LIST_MICROS = 1_000_000;
+    /**
+     * Another balancer answers within milliseconds which hosts drain that run by the configuration's list. Where none
+     * does so soon, none knows, and the list of the configuration is the best there is.
+     */
+    private static final long FIRST_WORD_MICROS = 100_000;
     /**
      * For clients to take their last answer and end their side: a program that ends before resets connections on which
      * something came in unread. Within what {@link #END_MICROS} leaves before SIGKILL.
@@ -71,6 +80,10 @@
     private final Inventory inventory;
     private final Discovery discovery;
     private final Peers peers;
+    private final ListExchange exchange;
+    /** Whether there are other balancers that can be asked which hosts run. */
+    private final boolean othersKnow;
+
     private Runnable toServe;
 
     public Assembly(Settings settings, Surroundings around) {
@@ -106,21 +119,60 @@
                 module.limits(),
                 half,
                 dispatcher);
-        discovery = new Discovery(settings.discovery(), around.dialer(), time, inventory, counters, list -> {
+        boolean asked = module.membership() == Decisions.Membership.ASK;
+        int others = asked && module.limits().mayTellPeers()
+                ? Math.min(settings.peers().size(), module.balancers())
+                : 0;
+        othersKnow = others > 1;
+        ListConfirmation confirmation =
+                asked ? ListConfirmation.from(time.now(), othersKnow) : ListConfirmation.notNeeded();
+        Consumer<ServerList> hearsList = list -> {
             dispatcher.listed(list);
             inventory.forget(south::uses);
             ready();
-        });
+        };
+        discovery = new Discovery(
+                settings.discovery(),
+                around.dialer(),
+                time,
+                inventory,
+                counters,
+                new CallPacing(module.balancers(), module.index(), module.seed()),
+                confirmation,
+                hearsList);
         peers = new Peers(
                 settings.peers(),
                 settings.peerListen(),
                 settings.peersAll(),
                 around.peers(),
                 counters,
-                dispatcher::heard);
+                this::heardFrom);
+        exchange = new ListExchange(
+                module.index(),
+                Math.max(1, others),
+                ~module.seed(),
+                time,
+                inventory,
+                confirmation,
+                counters,
+                peers::tell,
+                hearsList);
+        exchange.whenConfirmed(() -> {
+            discovery.heardFromOthers();
+            ready();
+        });
+        discovery.whenUnwatched(exchange::seek);
+        dispatcher.beginOnlyWhile(() -> confirmation.current(time.now()));
         dispatcher.connect(north, south, discovery, peers);
     }
 
+    /** What is about lists stays here; a datagram of any other kind is the decisions' to read or pass over. */
+    private void heardFrom(int peer, byte[] content) {
+        if (!exchange.heard(peer, content)) {
+            dispatcher.heard(peer, content);
+        }
+    }
+
     private static int half(Settings settings) {
         return (settings.sockets() - OTHER_DESCRIPTORS) / 2;
     }
@@ -140,7 +192,8 @@
      * they are pushed to: nothing arrives by itself on sockets, and the module orders no watch there. The first event.
      *
      * @param serve begins to take clients. Danger: what the agent holds counts as told from the first moment on, while the
-     *              configuration's list may be old; so this waits for the agent's first word, or a second where it is silent
+     *              configuration's list may be old; so this waits for the agent's first word, or a second where it is
+     *              silent. Where lists are asked for it waits for another balancer's first word, or a tenth of a second
      */
     public void start(Runnable serve) {
         toServe = serve;
@@ -154,6 +207,9 @@
         if (settings.module().membership() == Decisions.Membership.PUSH) {
             discovery.attend(settings.module().rules().drainGraceMicros());
             time.after(FIRST_LIST_MICROS, this::ready);
+        } else if (othersKnow) {
+            exchange.seek();
+            time.after(FIRST_WORD_MICROS, this::ready);
         } else {
             ready();
         }
--- a/balancer/src/main/java/baymoor/north/Taken.java
+++ b/balancer/src/main/java/baymoor/north/ClientRequest.java
@@ -6,7 +6,7 @@
  * A client's request as it was taken, whatever protocol it came by. {@code value} is null for a read;
  * {@code facts} are all names and values in the order in which they came.
  */
-public record Taken(
+public record ClientRequest(
         String id,
         String key,
         String requestClass,
@@ -18,6 +18,7 @@
         double size,
         boolean retry) {
 
+    /** Whether it is a write: a read has no value. */
     public boolean write() {
         return value != null;
     }
--- a/balancer/src/main/java/baymoor/north/RespClient.java
+++ b/balancer/src/main/java/baymoor/north/RespClient.java
@@ -3,7 +3,7 @@
 import baymoor.counters.Count;
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
-import baymoor.north.North.Owed;
+import baymoor.north.North.PendingAnswer;
 import baymoor.resp.Resp;
 import baymoor.resp.RespException;
 import baymoor.resp.RespReader;
@@ -48,7 +48,7 @@
     private final North north;
     private final Link link;
     private final RespReader reader = RespReader.ofCommands();
-    private final Deque<Owed> row = new ArrayDeque<>();
+    private final Deque<PendingAnswer> row = new ArrayDeque<>();
     private int unwritten;
     private boolean extra;
     /** Nothing more is read: it said what can't be read, or this side's end has gone out. */
@@ -57,6 +57,9 @@
     private boolean leaving;
 
     private boolean finished;
+    /** Its end has been dealt with, or is next. */
+    private boolean left;
+
     private boolean paused;
     private boolean spoken;
     /** When this connection last got on: came up, brought a whole command, sent an answer, or was ended. */
@@ -77,8 +80,18 @@
         return spoken;
     }
 
+    /**
+     * Whether the client is still connected. The connection may be over though its end is still queued behind other events;
+     * once that is noticed here, the end is dealt with right after the present event. Danger: seen was that a connection to a
+     * router came up in between, each attempt of a client that had left ended as not sent, and after five of them, all before
+     * the client's end was told, the request counted as refused and not as gone.
+     */
     boolean there() {
-        return !link.over();
+        if (!left && link.over()) {
+            left = true;
+            north.time.after(0, this::forget);
+        }
+        return !left;
     }
 
     /** Since when nothing has moved here. */
@@ -271,7 +284,7 @@
             bad("wrong number of arguments");
             return;
         }
-        Taken request;
+        ClientRequest request;
         try {
             byte[] value = count == SET_WORDS ? words.get(4) : null;
             request = Facts.read(words.get(1), words.get(2), words.get(3), value, north.classes, cameMicros);
@@ -288,14 +301,14 @@
             turnAway();
             return;
         }
-        Owed owed = north.take(this, request);
-        row.addLast(owed);
-        north.hand(owed, request);
+        PendingAnswer pending = north.take(this, request);
+        row.addLast(pending);
+        north.hand(pending, request);
     }
 
     /** One more refusal; a row of them at the end is kept as one with its number, as a client may send on without end. */
     private void turnAway() {
-        Owed last = row.peekLast();
+        PendingAnswer last = row.peekLast();
         if (last != null && last.answer == TURNED_AWAY) {
             last.times++;
         } else {
@@ -304,14 +317,14 @@
     }
 
     private void atOnce(byte[] answer) {
-        Owed owed = new Owed(this, 0, 0);
-        owed.answer = answer;
-        row.addLast(owed);
+        PendingAnswer pending = new PendingAnswer(this, 0, 0);
+        pending.answer = answer;
+        row.addLast(pending);
         flush();
     }
 
-    void answer(Owed owed, Answer answer) {
-        owed.answer = answer instanceof Answer.Served served
+    void answer(PendingAnswer pending, Answer answer) {
+        pending.answer = answer instanceof Answer.Served served
                 ? RespWriter.bulk(served.value())
                 : answer instanceof Answer.BackOff wait
                         ? RespWriter.error(busy(wait.afterMicros()))
@@ -326,7 +339,7 @@
     private void flush() {
         while (!row.isEmpty() && row.peekFirst().answer != null && unwritten < MOST_OWED) {
             movedMicros = unwritten++ == 0 && !stopped ? north.time.now() : movedMicros;
-            Owed first = row.peekFirst();
+            PendingAnswer first = row.peekFirst();
             int together = Math.min(first.times, MOST_TOGETHER);
             first.times -= together;
             if (first.times == 0) {
@@ -363,6 +376,14 @@
 
     @Override
     public void closed() {
+        if (!left) {
+            left = true;
+            forget();
+        }
+    }
+
+    /** Nothing is owed here any more. */
+    private void forget() {
         stopped = true;
         north.gone(this, List.copyOf(row));
         row.clear();
--- /dev/null
+++ b/balancer/src/main/java/baymoor/south/Attempt.java
@@ -0,0 +1,47 @@
+package baymoor.south;
+
+import baymoor.link.Time;
+import java.util.function.BooleanSupplier;
+
+/** One attempt to have a request answered by one host, or a probe of it. */
+final class Attempt {
+    final String requestId;
+    final int number;
+    final Host host;
+    final RequestContent content;
+    final long startedMicros;
+    final long deadlineMicros;
+    private final BooleanSupplier wanted;
+    Time.Timer timer;
+    HostConnection connection;
+    boolean ended;
+
+    /**
+     * @param content null for a probe
+     * @param wanted  whether the request still needs this attempt, asked right before it is sent
+     */
+    Attempt(
+            String requestId,
+            int number,
+            Host host,
+            RequestContent content,
+            long startedMicros,
+            long deadlineMicros,
+            BooleanSupplier wanted) {
+        this.wanted = wanted;
+        this.requestId = requestId;
+        this.number = number;
+        this.host = host;
+        this.content = content;
+        this.startedMicros = startedMicros;
+        this.deadlineMicros = deadlineMicros;
+    }
+
+    boolean wanted() {
+        return wanted.getAsBoolean();
+    }
+
+    boolean probe() {
+        return content == null;
+    }
+}
--- /dev/null
+++ b/balancer/src/main/java/baymoor/south/HostConnection.java
@@ -0,0 +1,189 @@
+package baymoor.south;
+
+import baymoor.counters.Count;
+import baymoor.counters.Invariant;
+import baymoor.link.Link;
+import baymoor.link.LinkEvents;
+import baymoor.link.Time;
+import merlinstep.Decisions.Outcome;
+
+/**
+ * One connection to a host. It carries one attempt at a time and does not pipeline: a second request would wait for the
+ * answer to the first, and aborting either of them would abort both.
+ */
+final class HostConnection implements LinkEvents {
+
+    /**
+     * How long a connection stays unused after an answer. Routers have been observed to send an answer twice, the second copy up
+     * to 9.5 ms after the first (40 cases, two of them more than 5 ms). On a connection that is reused at once that copy would be
+     * read as the answer to the next attempt. Twice the longest delay is waited for, and bytes that arrive in that time close the
+     * connection. An answer takes about ten times as long, so few additional connections are needed.
+     */
+    private static final long REST_MICROS = 20_000;
+
+    private final South south;
+    private final Host host;
+    private final Codec codec;
+    private Link link;
+    private Time.Timer connectTimer;
+    private Time.Timer stallTimer;
+    private Attempt attempt;
+    private Outcome abortOutcome;
+    private boolean open;
+    private boolean requestWritten;
+    private boolean closing;
+    long idleSinceMicros;
+
+    HostConnection(South south, Host host, Codec codec, Attempt firstAttempt) {
+        this.south = south;
+        this.host = host;
+        this.codec = codec;
+        attempt = firstAttempt;
+        firstAttempt.connection = this;
+    }
+
+    void dial() {
+        // MINA checks connect time-outs only once a second, so the time-out is kept here.
+        connectTimer = south.time.after(south.connectMicros, this::close);
+        link = south.dialer.dial(host.address, this);
+    }
+
+    /**
+     * Whether the connection can carry another attempt: no bytes have arrived since the last answer, and the host has not closed
+     * it. Both are asked of the link, since its events may not have been delivered yet: a second copy of the last answer that
+     * waits there would be read as the answer to the next attempt.
+     */
+    boolean reusable() {
+        return !link.unread() && !link.over();
+    }
+
+    /** Starts an attempt on this idle connection. */
+    void assign(Attempt next) {
+        Invariant.check(open && attempt == null && !closing, "a connection carries one attempt at a time");
+        attempt = next;
+        next.connection = this;
+        writeRequest();
+    }
+
+    private void writeRequest() {
+        // Checked again right before writing: the host may have begun to drain while the attempt was queued.
+        if (!south.mayBegin(attempt)) {
+            Attempt refused = attempt;
+            attempt = null;
+            host.release(this);
+            south.time.after(0, () -> south.end(refused, Reply.without(Outcome.NOT_SENT)));
+            return;
+        }
+        requestWritten = false;
+        // Rounded down, so that the host is never given more time than this balancer waits.
+        long waitMillis = Math.max(1, (attempt.deadlineMicros - south.time.now()) / 1000);
+        link.write(attempt.probe() ? codec.probe() : codec.request(attempt.content, waitMillis));
+    }
+
+    /**
+     * Ends the attempt by closing its connection. The outcome is reported only once the connection is closed: if it were
+     * reported at once, the next attempt could be sent while this one can still reach the host.
+     */
+    void abort(Outcome outcome) {
+        abortOutcome = outcome;
+        close();
+    }
+
+    void close() {
+        if (!closing) {
+            closing = true;
+            host.dropIdle(this);
+            link.close();
+        }
+    }
+
+    @Override
+    public void opened() {
+        connectTimer.cancel();
+        open = true;
+        if (closing) {
+            return;
+        }
+        south.counters.add(Count.CONNECTIONS_OPENED);
+        writeRequest();
+    }
+
+    @Override
+    public void received(byte[] bytes) {
+        if (closing) {
+            return;
+        }
+        if (attempt == null) {
+            // Bytes that no attempt waits for must never be read as the answer to the next one.
+            south.counters.add(Count.ANSWERS_UNASKED);
+            close();
+            return;
+        }
+        Reply reply = codec.feed(bytes);
+        if (stallTimer != null) {
+            stallTimer.cancel();
+        }
+        if (reply == null) {
+            stallTimer = south.time.after(south.stallMicros, this::stalled);
+            return;
+        }
+        Attempt answered = attempt;
+        attempt = null;
+        if (reply.reusable() && requestWritten && reusable()) {
+            south.time.after(REST_MICROS, this::rested);
+        } else {
+            close();
+        }
+        south.end(answered, reply);
+    }
+
+    private void rested() {
+        if (!closing && reusable()) {
+            host.release(this);
+        } else {
+            close();
+        }
+    }
+
+    private void stalled() {
+        if (!closing && attempt != null) {
+            south.counters.add(Count.ANSWERS_STALLED);
+            abort(Outcome.ERROR);
+        }
+    }
+
+    @Override
+    public void written() {
+        requestWritten = true;
+    }
+
+    @Override
+    public void closed() {
+        connectTimer.cancel();
+        if (stallTimer != null) {
+            stallTimer.cancel();
+        }
+        closing = true;
+        host.dropIdle(this);
+        host.connectionCount--;
+        south.connectionCount--;
+        if (attempt != null) {
+            Reply end = abortOutcome == null ? codec.end() : null;
+            Attempt broken = attempt;
+            attempt = null;
+            // The host may have run the request only if its last byte was written; otherwise it is NOT_CONNECTED.
+            // This is decided here and not when the time-out fired: the last byte may be written while the
+            // connection is being closed, and the event for it is always delivered before this one.
+            Outcome broke = abortOutcome == null ? Outcome.RESET : abortOutcome;
+            south.end(
+                    broken,
+                    end != null
+                            ? end
+                            : Reply.without(
+                                    requestWritten || broke == Outcome.CANCELLED || broke == Outcome.ERROR
+                                            ? broke
+                                            : Outcome.NOT_CONNECTED));
+        }
+        south.serveWaiting();
+    }
+}
--- a/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
+++ b/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
@@ -25,6 +25,7 @@
 import merlinstep.Decisions.Refuse;
 import merlinstep.Decisions.Request;
 import merlinstep.Decisions.RequestClass;
+import merlinstep.Decisions.RequestGone;
 import merlinstep.Decisions.Send;
 import merlinstep.Decisions.SetTimer;
 import merlinstep.Decisions.Sink;
@@ -180,7 +181,7 @@
         client.in(GET);
         links.get(0).events.opened();
         assertEquals("", links.get(0).takeOut());
-        assertEquals("[0 NOT_SENT]", ends());
+        assertEquals("[0 NOT_SENT done]", ends());
         client.in(GET.replace("i\r", "j\r"));
         assertEquals(
                 "what it sent before is not taken up",
@@ -188,6 +189,36 @@
                 heard.stream().filter(e -> e instanceof Request).count());
     }
 
+    /** Danger: while the client's end is queued, the decisions would use up all attempts and refuse, to nobody. */
+    @Test
+    public void aClientFoundToHaveLeftIsGoneBeforeItsAttemptEndsThoughItsEndIsToldLater() {
+        orders = (event, sink) -> {
+            if (event instanceof Request r) {
+                sink.accept(new Send(r.id(), 1, 0));
+            } else if (event instanceof AttemptEnded e && !e.done()) {
+                sink.accept(e.attempt() == 0 ? new Send(e.request(), 1, 0) : new Refuse(e.request(), 0));
+            }
+        };
+        client.in(GET);
+        client.in(GET.replace("i\r", "j\r"));
+        client.over = true;
+        links.get(0).events.opened();
+        links.get(1).events.opened();
+        assertEquals("[0 NOT_SENT done, 0 NOT_SENT done]", ends());
+        client.events.closed();
+        time.pass(0);
+        assertEquals("", links.get(0).takeOut() + links.get(1).takeOut() + client.takeOut());
+        assertEquals(2, counters.get(Count.REQUESTS_GONE));
+        assertEquals(0, counters.get(Count.REFUSED));
+        assertEquals(1, counters.get(Count.CLIENTS_CLOSED));
+        assertEquals(
+                List.of(Request.class, Request.class, RequestGone.class, RequestGone.class),
+                heard.stream()
+                        .filter(e -> !(e instanceof AttemptEnded))
+                        .map(Object::getClass)
+                        .toList());
+    }
+
     /** Danger: the repeat waits for a connection, and begins when the servers drop no second copy any more. */
     @Test
     public void aRepeatBeginsOnlyWhileItDoesNoHarm() {
@@ -234,4 +265,74 @@
                 heard.stream().filter(e -> e instanceof TimerFired).count() > 2);
         assertTrue(counters.get(Count.DECISION_FAILURES) > 2);
     }
+
+    @Test
+    public void whileTheListMayNotBeUsedARequestIsTurnedAwayAtOnce() {
+        dispatcher.beginOnlyWhile(() -> false);
+        client.in(GET);
+        assertEquals("-BUSY\r\n", client.takeOut());
+        time.pass(2_000_000);
+        assertEquals("the decisions never hear of it", List.of(), heard);
+        assertEquals(1, counters.get(Count.REFUSED));
+    }
+
+    /** Danger: each further attempt would be turned away as well, and the client wait for nothing. */
+    @Test
+    public void anAttemptThatIsOrderedWhileTheListMayNotBeUsedEndsTheRequest() {
+        boolean[] current = {true};
+        dispatcher.beginOnlyWhile(() -> current[0]);
+        orders = (event, sink) -> {
+            if (event instanceof Request r) {
+                sink.accept(new SetTimer(Long.parseLong(r.id()), 100_000));
+            } else if (event instanceof TimerFired t) {
+                sink.accept(new Send(Long.toString(t.token()), 1, 0));
+            }
+        };
+        client.in(GET);
+        current[0] = false;
+        time.pass(100_000);
+        assertEquals("-BUSY\r\n", client.takeOut());
+        assertEquals("[0 NOT_SENT done]", ends());
+        assertTrue(links.isEmpty());
+        assertEquals(0, counters.get(Count.ACTIONS_IGNORED));
+    }
+
+    @Test
+    public void whatMayHaveRunBeforeTheListBecameTooOldHasFailed() {
+        boolean[] current = {true};
+        dispatcher.beginOnlyWhile(() -> current[0]);
+        orders = (event, sink) -> {
+            if (event instanceof Request r) {
+                sink.accept(new Send(r.id(), 1, 0));
+            } else if (event instanceof AttemptEnded e && !e.done()) {
+                sink.accept(new Send(e.request(), 2, 0));
+            }
+        };
+        client.in(GET);
+        links.get(0).events.opened();
+        links.get(0).events.written();
+        current[0] = false;
+        links.get(0).events.closed();
+        time.pass(0);
+        String answer = client.takeOut();
+        assertTrue(answer, answer.startsWith("-") && !answer.startsWith("-BUSY"));
+        assertEquals("[0 RESET, 1 NOT_SENT done]", ends());
+        assertEquals(1, links.size());
+    }
+
+    @Test
+    public void anAttemptThatWaitedForAConnectionDoesNotBeginOnAListTooOld() {
+        boolean[] current = {true};
+        dispatcher.beginOnlyWhile(() -> current[0]);
+        orders = (event, sink) -> {
+            if (event instanceof Request r) {
+                sink.accept(new Send(r.id(), 1, 0));
+            }
+        };
+        client.in(GET);
+        current[0] = false;
+        links.get(0).events.opened();
+        assertEquals("", links.get(0).takeOut());
+        assertEquals("[0 NOT_SENT]", ends());
+    }
 }
--- a/scale/src/main/java/baymoor/scale/hollow/HollowBalancer.java
+++ b/scale/src/main/java/baymoor/scale/hollow/HollowBalancer.java
@@ -30,8 +30,8 @@
  */
 final class HollowBalancer {
 
-    /** A version of the list, and when it was known here, on the clock of all processes. */
-    record Known(long version, long atMicros) {}
+    /** A version of the list, and when it was known here, on the clock of all processes; {@code atStart} from its configuration. */
+    record Known(long version, long atMicros, boolean atStart) {}
 
     /** What the balancers of one process have in common. */
     record Surroundings(
@@ -69,6 +69,8 @@
         private final Assembly parts;
         private final List<StreamLink> streams = new ArrayList<>();
         private DrawnClients clients;
+        private boolean serves;
+        private boolean asked;
         private boolean alive = true;
         private long version;
 
@@ -86,8 +88,9 @@
                             MOST_VALUE_BYTES,
                             counters,
                             line -> {}));
-            parts.start(() -> {});
+            parts.start(this::serve);
             version = parts.listVersion();
+            known.add(new Known(version, around.clock().micros(), true));
         }
 
         @Override
@@ -179,7 +182,7 @@
             long held = parts.listVersion();
             if (held != version) {
                 version = held;
-                known.add(new Known(held, around.clock().micros()));
+                known.add(new Known(held, around.clock().micros(), false));
             }
         }
 
@@ -217,9 +220,23 @@
             }
         }
 
+        /** Clients are taken from now on. */
+        private void serve() {
+            serves = true;
+            admit();
+        }
+
+        /** Its clients ask as soon as it takes them. */
         void ask() {
-            clients = new DrawnClients(loop, world, "h" + number + "-" + System.nanoTime(), parts::client);
-            clients.start();
+            asked = true;
+            admit();
+        }
+
+        private void admit() {
+            if (serves && asked && clients == null) {
+                clients = new DrawnClients(loop, world, "h" + number + "-" + System.nanoTime(), parts::client);
+                clients.start();
+            }
         }
 
         void end() {
--- a/scale/src/main/java/baymoor/scale/real/RealFleet.java
+++ b/scale/src/main/java/baymoor/scale/real/RealFleet.java
@@ -220,8 +220,9 @@
         ProcessReading reading = ProcessReading.of(balancer.process.pid());
         return new RealSample(
                 balancer.number,
+                balancer.process.pid(),
                 System.nanoTime(),
-                reading.cpuNanos(),
+                reading.cpu(),
                 reading.memoryBytes(),
                 counter(info, "requests"),
                 counter(info, "peer_heard"),
