--- a/benchmarks/src/main/java/baymoor/benchmarks/PeerMessageBenchmark.java
+++ b/benchmarks/src/main/java/baymoor/benchmarks/PeerMessageBenchmark.java
@@ -19,6 +19,7 @@
     private Instance instance;
     private Peers peers;
 
+    /** Starts an instance of the size measured. */
     @Setup(Level.Trial)
     public void start() {
         TierSize tier = TierSize.parse(size);
@@ -27,6 +28,7 @@
         peers = new Peers(tier);
     }
 
+    /** Hears the next message. */
     @Benchmark
     public List<Action> message() {
         instance.advance(1);
--- a/benchmarks/src/main/java/baymoor/benchmarks/RequestBenchmark.java
+++ b/benchmarks/src/main/java/baymoor/benchmarks/RequestBenchmark.java
@@ -36,6 +36,7 @@
     private Instance instance;
     private int count;
 
+    /** Starts an instance of the size measured. */
     @Setup(Level.Trial)
     public void start() {
         instance = new Instance(TierSize.parse(size), 0);
@@ -45,6 +46,7 @@
         }
     }
 
+    /** Takes a request and has it served by the router chosen. */
     @Benchmark
     public List<Action> requestServed() {
         instance.advance(GAP_MICROS);
--- a/benchmarks/src/main/java/baymoor/benchmarks/ServerListBenchmark.java
+++ b/benchmarks/src/main/java/baymoor/benchmarks/ServerListBenchmark.java
@@ -24,12 +24,14 @@
     private long version = 1;
     private boolean present = true;
 
+    /** Starts an instance of the size measured. */
     @Setup(Level.Trial)
     public void start() {
         instance = new Instance(TierSize.parse(size), 0);
         instance.tick();
     }
 
+    /** Takes a list with one router that left or came back. */
     @Benchmark
     public List<Action> change() {
         present = !present;
--- a/benchmarks/src/main/java/baymoor/benchmarks/TickBenchmark.java
+++ b/benchmarks/src/main/java/baymoor/benchmarks/TickBenchmark.java
@@ -37,6 +37,7 @@
 
     private Instance instance;
 
+    /** Starts an instance of the size measured. */
     @Setup(Level.Trial)
     public void start() {
         TierSize tier = TierSize.parse(size);
@@ -48,6 +49,7 @@
         }
     }
 
+    /** Fires the pending timer. */
     @Benchmark
     public List<Action> tick() {
         return instance.tick();
