--- a/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
+++ b/emulator/src/main/java/baymoor/emulator/world/DiscoveryService.java
@@ -353,7 +353,7 @@
         /** One after another: a call begins when those before it are done. */
         private void call(String target) {
             if (!up) {
-                time.after(spec.atOnce() ? 0 : spec.patienceMicros(), this::turnDown);
+                time.after(spec.atOnce() ? 0 : spec.timeoutMicros(), this::turnDown);
                 return;
             }
             boolean watching = target.contains("watch=1");
