--- a/scale/src/main/java/baymoor/scale/loop/DecisionLoop.java
+++ b/scale/src/main/java/baymoor/scale/loop/DecisionLoop.java
@@ -9,6 +9,7 @@
 import java.util.PriorityQueue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -36,6 +37,7 @@
     private final PriorityQueue<Due> timers = new PriorityQueue<>();
     private final Consumer<String> log;
     private final RunClock clock;
+    private final LongSupplier nanoTime;
     private final long startMicros;
     private final long[] nanos = new long[Work.values().length];
     private final Histogram lateness = new Histogram(LONGEST_LATENESS_MICROS, 2);
@@ -46,6 +48,16 @@
     private volatile boolean stopped;
 
     public DecisionLoop(String name, RunClock clock, Consumer<String> log) throws IOException {
+        this(name, clock, log, System::nanoTime);
+    }
+
+    /**
+     * A loop that measures the time of its events by a clock of the caller's.
+     *
+     * @param nanoTime what that clock shows, in nanoseconds from any origin
+     */
+    DecisionLoop(String name, RunClock clock, Consumer<String> log, LongSupplier nanoTime) throws IOException {
+        this.nanoTime = nanoTime;
         this.clock = clock;
         startMicros = clock.micros();
         selector = Selector.open();
@@ -135,12 +147,12 @@
     /** Does something within the present event as work of another kind. */
     public void as(Work kind, Runnable task) {
         Work before = work;
-        long began = System.nanoTime();
+        long began = nanoTime.getAsLong();
         work = kind;
         try {
             task.run();
         } finally {
-            long spent = System.nanoTime() - began;
+            long spent = nanoTime.getAsLong() - began;
             nanos[kind.ordinal()] += spent;
             nanos[before.ordinal()] -= spent;
             work = before;
@@ -229,13 +241,13 @@
 
     private void perform(Work kind, Runnable task) {
         work = kind;
-        long began = System.nanoTime();
+        long began = nanoTime.getAsLong();
         try {
             task.run();
         } catch (RuntimeException | Error e) {
             log.accept("task failed: " + e + (e.getStackTrace().length > 0 ? " at " + e.getStackTrace()[0] : ""));
         }
-        nanos[kind.ordinal()] += System.nanoTime() - began;
+        nanos[kind.ordinal()] += nanoTime.getAsLong() - began;
         work = Work.CONTROL;
     }
 }
--- a/scale/src/test/java/baymoor/scale/loop/DecisionLoopTest.java
+++ b/scale/src/test/java/baymoor/scale/loop/DecisionLoopTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.After;
 import org.junit.Before;
 import org.junit.Test;
@@ -18,7 +19,8 @@
 public class DecisionLoopTest {
 
     private static final long LONG_SECONDS = 20;
-    private static final long BUSY_NANOS = 5_000_000;
+    private static final long TOOL_NANOS = 5_000_000;
+    private static final long SERVING_NANOS = 3_000;
 
     private final List<String> failures = new ArrayList<>();
     private DecisionLoop loop;
@@ -38,13 +40,6 @@
         assertTrue(latch.await(LONG_SECONDS, TimeUnit.SECONDS));
     }
 
-    private static void beBusy() {
-        long until = System.nanoTime() + BUSY_NANOS;
-        while (System.nanoTime() < until) {
-            Thread.onSpinWait();
-        }
-    }
-
     @Test
     public void whatIsDueAtOnceComesBeforeTimersAndTimersInOrder() throws InterruptedException {
         List<Integer> order = new ArrayList<>();
@@ -81,18 +76,25 @@
     }
 
     @Test
-    public void timeWithinAnEventOfAnotherKindIsTakenOffThatOne() throws InterruptedException {
+    public void timeWithinAnEventOfAnotherKindIsTakenOffThatOne() throws IOException, InterruptedException {
+        AtomicLong nanos = new AtomicLong();
+        DecisionLoop measured = new DecisionLoop("measured", new RunClock(1), failures::add, nanos::get);
+        measured.start();
         long[][] spent = new long[1][];
         CountDownLatch done = new CountDownLatch(1);
-        loop.post(() -> loop.as(Work.SERVING, () -> loop.as(Work.TOOL, DecisionLoopTest::beBusy)));
-        loop.post(() -> {
-            spent[0] = loop.spentNanos();
+        measured.post(() -> measured.as(Work.SERVING, () -> {
+            nanos.addAndGet(SERVING_NANOS);
+            measured.as(Work.TOOL, () -> nanos.addAndGet(TOOL_NANOS));
+        }));
+        measured.post(() -> {
+            spent[0] = measured.spentNanos();
             done.countDown();
         });
         await(done);
-        assertTrue(spent[0][Work.TOOL.ordinal()] >= BUSY_NANOS);
-        assertTrue(spent[0][Work.SERVING.ordinal()] < BUSY_NANOS);
-        assertTrue(spent[0][Work.CONTROL.ordinal()] < BUSY_NANOS);
+        measured.stop();
+        assertEquals(TOOL_NANOS, spent[0][Work.TOOL.ordinal()]);
+        assertEquals(SERVING_NANOS, spent[0][Work.SERVING.ordinal()]);
+        assertEquals(0, spent[0][Work.CONTROL.ordinal()]);
     }
 
     @Test
