--- a/review/kit/Kit.java
+++ b/review/kit/Kit.java
@@ -83,6 +83,13 @@
     /** Runs a case and exits: 0 the rule held, 1 it was broken, 2 the case could not run. */
     static void runCase(String recordFile, CaseBody body) {
         int code = 2;
+        Runtime.getRuntime().addShutdownHook(new Thread(Kit::endProcesses));
+        daemon("watchdog", () -> {
+            sleep(112_000);
+            log("RESULT: could not run, not done after 112 s");
+            endProcesses();
+            Runtime.getRuntime().halt(2);
+        });
         try {
             openRecord(recordFile);
             log("TROUBLE=" + (TROUBLE ? "1" : "0"));
@@ -96,7 +103,18 @@
         if (record != null) {
             log(code == 1 ? "RESULT: rule broken" : code == 0 ? "RESULT: rule held" : "RESULT: could not run");
         }
-        Runtime.getRuntime().halt(code); // after the balancers have been ended by the case
+        endProcesses();
+        Runtime.getRuntime().halt(code);
+    }
+
+    private static final List<Process> processes = new CopyOnWriteArrayList<>();
+
+    /** Ends whatever process of the case still runs. */
+    private static void endProcesses() {
+        for (Process process : processes) {
+            process.descendants().forEach(ProcessHandle::destroyForcibly);
+            process.destroyForcibly();
+        }
     }
 
     interface CaseBody {
@@ -196,6 +214,7 @@
             builder.redirectErrorStream(true);
             builder.redirectOutput(folder.resolve("log").toFile());
             process = builder.start();
+            processes.add(process);
             log("balancer started, listens on 127.0.0.1:" + port);
         }
 
