review: clients that send much at once end the I/O thread; takes the place of a lesser case

Cause: memory held beside the values of open writes is not bounded over all connections, and nothing guards the one I/O thread.

--- a/review/2/AcceptCase.java
+++ b/review/1/MemoryCase.java
@@ -4,11 +4,15 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Bad clients that stop in the middle of a command: the requests of the usual clients still have to be answered in time. */
-final class AcceptCase {
+/** Bad clients that send many commands at once: the balancer has to go on, and the usual clients' requests are answered. */
+final class MemoryCase {
 
-    private static final int BAD_CLIENTS = Integer.getInteger("bad", 400);
+    private static final int BAD_CLIENTS = Integer.getInteger("bad", 200);
+    private static final int COMMANDS = Integer.getInteger("commands", 100);
+    private static final int MEMORY_MB = Integer.getInteger("memory", 96);
+    private static final int SOCKETS = Integer.getInteger("sockets", 512);
     private static final int PER_SECOND = 20;
+    private static final int SECONDS = 14;
     private static final int DEADLINE_MS = 1200;
     /** Half a second after its time a request without an answer is lost, on sockets 50 ms later. */
     private static final int LOST_AFTER_MS = DEADLINE_MS + 500 + 50;
@@ -18,10 +22,11 @@
     private static final AtomicInteger served = new AtomicInteger();
     private static final AtomicInteger shut = new AtomicInteger();
     private static final AtomicInteger notConnected = new AtomicInteger();
-    private static final AtomicInteger badLate = new AtomicInteger();
+    private static final AtomicInteger badConnected = new AtomicInteger();
+    private static final AtomicInteger badAnswers = new AtomicInteger();
 
     public static void main(String[] args) {
-        Kit.runCase(args[0], AcceptCase::run);
+        Kit.runCase(args[0], MemoryCase::run);
     }
 
     private static boolean run() throws Exception {
@@ -46,17 +51,19 @@
         Kit.Discovery discovery = new Kit.Discovery(list);
         int port = Kit.freePort();
         String config = Kit.config(port, discovery.server.port, list, Kit.SETTINGS)
-                .replace("\"sockets\":1024", "\"sockets\":256");
+                .replace("\"memory_mb\":128,\"sockets\":1024", "\"memory_mb\":" + MEMORY_MB + ",\"sockets\":" + SOCKETS);
+        boolean hangs;
         try (Kit.Balancer balancer = new Kit.Balancer(port, config)) {
             balancer.awaitReady();
             Kit.sleep(1500);
             List<Thread> clients = new ArrayList<>();
-            for (int i = 0; i < 12 * PER_SECOND; i++) {
+            for (int i = 0; i < SECONDS * PER_SECOND; i++) {
                 int number = i;
                 if (i == 2 * PER_SECOND && Kit.TROUBLE) {
-                    Kit.log(BAD_CLIENTS + " bad clients connect, each with half a command");
+                    Kit.log(BAD_CLIENTS + " bad clients connect, each sends " + COMMANDS + " commands at once");
                     for (int b = 0; b < BAD_CLIENTS; b++) {
-                        Kit.daemon("bad", () -> bad(port));
+                        int bad = b;
+                        Kit.daemon("bad", () -> bad(port, bad));
                     }
                 }
                 clients.add(Kit.daemon("client", () -> client(port, number)));
@@ -69,32 +76,49 @@
                 Kit.log("the balancer has ended by itself");
                 return true;
             }
+            hangs = !answersPing(port);
+            Kit.log("at the end the balancer's process runs and " + (hangs ? "does NOT answer" : "answers") + " a PING within 6 s");
         }
         Kit.log("usual clients: answered in time " + answered + " (served " + served + "), lost " + lost
                 + ", connections shut with nothing sent on " + shut + ", not connected " + notConnected
-                + "; bad clients without an error or a close within 3 s of connecting: " + badLate);
+                + "; bad clients connected " + badConnected + ", answers they read " + badAnswers);
         if (served.get() == 0) {
             throw new IOException("nothing was served");
         }
-        return lost.get() > 0;
+        return lost.get() > 0 || hangs;
     }
 
-    /** Sends half a command once, stays, and reads whatever it is sent until the balancer ends the connection. */
-    private static void bad(int port) throws IOException {
-        long connecting = Kit.nowMs();
+    private static boolean answersPing(int port) {
+        try (Kit.Client client = new Kit.Client(port)) {
+            client.socket.setSoTimeout(6_000);
+            client.write(Kit.command("PING"));
+            return "+PONG".equals(client.readLine());
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Sends many commands at once, reads whatever it is sent meanwhile, and goes. */
+    private static void bad(int port, int number) throws IOException {
+        String value = "v".repeat(65_536);
         try (Kit.Client c = new Kit.Client(port)) {
-            long connected = Kit.nowMs();
-            c.write("*4\r\n$7\r\nOBJ.GET\r\n$16\r\n7f3a9c21".getBytes());
-            c.socket.setSoTimeout(20_000);
-            int first = c.in.read();
-            if (Kit.nowMs() - connected > 3000) {
-                badLate.incrementAndGet();
-            }
-            while (first >= 0) {
-                first = c.in.read();
+            badConnected.incrementAndGet();
+            Kit.daemon("bad-reader", () -> {
+                while (true) {
+                    c.readAnswer();
+                    badAnswers.incrementAndGet();
+                }
+            });
+            for (int i = 0; i < COMMANDS; i++) {
+                String id = "%016x".formatted(0x5e00000000000000L + number * 1000L + i);
+                c.write(Kit.command(
+                        "OBJ.SET",
+                        "%016x".formatted(0x9e3779b97f4a7c15L * (number * 1000L + i)),
+                        id,
+                        "c=parcel-watch,t=fraser-surveyors,d=4500,h=180000,k=" + id,
+                        value));
             }
-        } catch (IOException e) {
-            Kit.log("bad client: " + e + " " + (Kit.nowMs() - connecting) + " ms after it began to connect");
+            Kit.sleep(2000);
         }
     }
 
@@ -108,7 +132,7 @@
                 client.write(Kit.command(
                         "OBJ.GET", key, id, "c=map-read,t=fraser-surveyors,d=" + DEADLINE_MS + ",h=120000"));
                 sent = Kit.nowMs();
-                client.socket.setSoTimeout(10_000);
+                client.socket.setSoTimeout(6_000);
                 String answer = client.readAnswer();
                 long took = Kit.nowMs() - sent;
                 boolean isLost = took > LOST_AFTER_MS;
@@ -118,12 +142,8 @@
                         + (isLost ? "  LOST" : ""));
                 return;
             } catch (SocketTimeoutException e) {
-                if (sent < 0) {
-                    notConnected.incrementAndGet();
-                } else {
-                    lost.incrementAndGet();
-                }
-                Kit.log("request " + id + (sent < 0 ? " not sent: no connection" : ": no answer within 10 s  LOST"));
+                (sent < 0 ? notConnected : lost).incrementAndGet();
+                Kit.log("request " + id + (sent < 0 ? " not sent: no connection" : ": no answer within 6 s  LOST"));
                 return;
             } catch (IOException e) {
                 (sent < 0 ? notConnected : shut).incrementAndGet();
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-exec java -Xmx512m -cp review/target ListCase "$here/record.txt"
+exec java -Xmx1g -cp review/target MemoryCase "$here/record.txt"
