--- a/review/1/MemoryCase.java
+++ b/review/1/MemoryCase.java
@@ -7,10 +7,10 @@
 /** Bad clients that send many commands at once: the balancer has to go on, and the usual clients' requests are answered. */
 final class MemoryCase {
 
-    private static final int BAD_CLIENTS = Integer.getInteger("bad", 200);
+    private static final int BAD_CLIENTS = Integer.getInteger("bad", 400);
     private static final int COMMANDS = Integer.getInteger("commands", 100);
-    private static final int MEMORY_MB = Integer.getInteger("memory", 96);
-    private static final int SOCKETS = Integer.getInteger("sockets", 512);
+    private static final int MEMORY_MB = Integer.getInteger("memory", 128);
+    private static final int SOCKETS = Integer.getInteger("sockets", 1024);
     private static final int PER_SECOND = 20;
     private static final int SECONDS = 14;
     private static final int DEADLINE_MS = 1200;
