review: a script's balancer and folder go with it, also after a SIGKILL

Cause: a SIGKILL to a script left its balancer, and a SIGTERM its folder in the temporary folder. Change: a small guard process, whose input ends with the script, ends the balancer and removes the folder.

--- a/review/kit/Kit.java
+++ b/review/kit/Kit.java
@@ -2,7 +2,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.EOFException;
-import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -19,14 +18,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import java.util.stream.Stream;
 
 /** Stand-ins and helpers shared by the cases: balancer process, routers, origin, discovery, clients, record. */
 final class Kit {
@@ -108,13 +105,46 @@
     }
 
     private static final List<Process> processes = new CopyOnWriteArrayList<>();
+    private static final List<Process> guards = new CopyOnWriteArrayList<>();
 
-    /** Ends whatever process of the case still runs. */
+    /** Ends whatever process of the case still runs, and lets the guards remove the folders. */
     private static void endProcesses() {
         for (Process process : processes) {
             process.descendants().forEach(ProcessHandle::destroyForcibly);
             process.destroyForcibly();
         }
+        for (Process guard : guards) {
+            endGuard(guard);
+        }
+    }
+
+    /** Starts a process that ends another one and removes its folder when its input ends, so also after a SIGKILL of this one. */
+    private static Process guard(long pid, Path folder) throws IOException {
+        Process guard = new ProcessBuilder(
+                        "/bin/sh",
+                        "-c",
+                        "trap '' TERM INT HUP; ended=; while read -r line; do ended=1; done; [ -n \"$ended\" ] || kill -9 \"$1\"; sleep 0.2; rm -rf \"$2\"",
+                        "guard",
+                        Long.toString(pid),
+                        folder.toString())
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .redirectError(ProcessBuilder.Redirect.DISCARD)
+                .start();
+        guards.add(guard);
+        return guard;
+    }
+
+    private static void endGuard(Process guard) {
+        try {
+            try (OutputStream input = guard.getOutputStream()) {
+                input.write("ended\n".getBytes(StandardCharsets.US_ASCII)); // so that it does not end a process with a reused id
+            }
+            guard.waitFor(3, TimeUnit.SECONDS);
+        } catch (IOException e) {
+            // It has ended already.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     interface CaseBody {
@@ -197,6 +227,7 @@
         final Process process;
         final Path folder;
         final int port;
+        private final Process guard;
 
         Balancer(int port, String config) throws IOException {
             this.port = port;
@@ -215,6 +246,7 @@
             builder.redirectOutput(folder.resolve("log").toFile());
             process = builder.start();
             processes.add(process);
+            guard = guard(process.pid(), folder);
             log("balancer started, listens on 127.0.0.1:" + port);
         }
 
@@ -260,9 +292,7 @@
             for (String line : lines.subList(0, Math.min(60, lines.size()))) {
                 log("balancer's log: " + line);
             }
-            try (Stream<Path> files = Files.walk(folder)) {
-                files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
-            }
+            endGuard(guard);
         }
     }
 
