Count what clients make the program hold, and log a thread that an error ends

Hypotheses: bytes between the I/O and the decision thread, commands received in part, values of open writes with their copies, replies that nobody reads.

Change: ClientMemory counts the bytes held for each of them; INFO and the last log line give held and peak; a thread that an error ends is logged with these figures.

--- a/balancer/src/main/java/baymoor/assembly/Assembly.java
+++ b/balancer/src/main/java/baymoor/assembly/Assembly.java
@@ -12,6 +12,7 @@
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
 import baymoor.link.Time;
+import baymoor.memory.ClientMemory;
 import baymoor.north.North;
 import baymoor.peers.PeerLink;
 import baymoor.peers.Peers;
@@ -37,14 +38,14 @@
      * The clock, network and limits that a balancer runs with.
      *
      * @param unixMillisToMicros converts Unix time in milliseconds to the time of {@code time}, in microseconds
-     * @param maxValueBytes      limit of the values of all open writes together, in bytes
+     * @param clientMemory       accounts for the memory that clients make this balancer hold
      */
     public record Environment(
             Time time,
             Dialer dialer,
             PeerLink peers,
             LongUnaryOperator unixMillisToMicros,
-            long maxValueBytes,
+            ClientMemory clientMemory,
             Counters counters,
             Consumer<String> log) {}
 
@@ -81,6 +82,7 @@
     private final Time time;
     private final Consumer<String> log;
     private final Counters counters;
+    private final ClientMemory clientMemory;
     private final North north;
     private final Dispatcher dispatcher;
     private final Inventory inventory;
@@ -99,6 +101,7 @@
         time = environment.time();
         log = environment.log();
         counters = environment.counters();
+        clientMemory = environment.clientMemory();
         Decisions.Settings decisionSettings = settings.decisionSettings();
         dispatcher = new Dispatcher(
                 Decisions.start(decisionSettings),
@@ -118,8 +121,8 @@
                 dispatcher,
                 maxConnections,
                 maxOpenRequests(decisionSettings.limits().maxOpen()),
-                environment.maxValueBytes(),
-                counters::report);
+                environment.clientMemory(),
+                this::counterReport);
         int originKind = decisionSettings.origin().kind();
         boolean originListed = decisionSettings.origin().mode() == Decisions.Mode.ASIDE
                 && originKind >= 0
@@ -258,6 +261,11 @@
         return counters;
     }
 
+    /** Returns one line {@code name:value} for each counter and for the memory that clients make this balancer hold. */
+    public String counterReport() {
+        return counters.report() + clientMemory.report();
+    }
+
     /** Returns the version of the server list in use, by which tools measure how long a change takes to arrive. */
     public long listVersion() {
         return inventory.version();
--- a/balancer/src/main/java/baymoor/net/MinaLink.java
+++ b/balancer/src/main/java/baymoor/net/MinaLink.java
@@ -2,6 +2,8 @@
 
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
+import baymoor.memory.ClientMemory;
+import baymoor.memory.ClientMemory.Part;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.apache.mina.core.buffer.IoBuffer;
@@ -25,6 +27,7 @@
     private static final int ANY_READ_COUNT = -1;
 
     private final DecisionThread thread;
+    private final ClientMemory memory;
     private LinkEvents events;
     private volatile IoSession session;
     private volatile boolean closeRequested;
@@ -48,8 +51,10 @@
     /** Whether more bytes wait for delivery than {@link #MAX_UNDELIVERED_BYTES}. */
     private boolean backlogged;
 
-    MinaLink(DecisionThread thread) {
+    /** @param memory is charged with the bytes that wait for delivery, or null */
+    MinaLink(DecisionThread thread, ClientMemory memory) {
         this.thread = thread;
+        this.memory = memory;
     }
 
     /** Sets the receiver of events, before the first event is posted. */
@@ -90,12 +95,12 @@
             return;
         }
         readCount++;
-        if (undeliveredBytes.addAndGet(bytes.length) > MAX_UNDELIVERED_BYTES) {
+        if (addUndelivered(bytes.length) > MAX_UNDELIVERED_BYTES) {
             updateReading(true, null);
         }
         thread.post(() -> {
             deliveredReads++;
-            boolean caughtUp = undeliveredBytes.addAndGet(-bytes.length) <= MAX_UNDELIVERED_BYTES / 2;
+            boolean caughtUp = addUndelivered(-bytes.length) <= MAX_UNDELIVERED_BYTES / 2;
             if (!closedDelivered) {
                 events.received(bytes);
             }
@@ -105,6 +110,13 @@
         });
     }
 
+    private int addUndelivered(int bytes) {
+        if (memory != null) {
+            memory.add(Part.UNDELIVERED_INPUT, bytes);
+        }
+        return undeliveredBytes.addAndGet(bytes);
+    }
+
     /** Suspends or resumes reading from the socket when either of the two reasons to do so changes; null leaves one as it is. */
     private synchronized void updateReading(Boolean newBacklogged, Boolean newReadingRequested) {
         boolean wasReading = readingRequested && !backlogged;
--- a/balancer/src/main/java/baymoor/net/MinaNet.java
+++ b/balancer/src/main/java/baymoor/net/MinaNet.java
@@ -3,6 +3,7 @@
 import baymoor.link.Dialer;
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
+import baymoor.memory.ClientMemory;
 import baymoor.peers.PeerLink;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -42,6 +43,7 @@
     private final SimpleIoProcessorPool<NioSession> processors = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
     private final NioSocketConnector connector = new NioSocketConnector(processors);
     private final ConnectionLimiter connectionLimiter;
+    private final ClientMemory clientMemory;
     private final NioSocketAcceptor acceptor = new NioSocketAcceptor(processors) {
         @Override
         protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
@@ -62,7 +64,7 @@
 
     /** Creates the sockets without a limit on accepted connections. */
     public MinaNet(DecisionThread thread) {
-        this(thread, 0);
+        this(thread, 0, null);
     }
 
     /**
@@ -70,9 +72,11 @@
      *
      * @param maxConnections the highest number of open accepted connections, past which further ones wait in the listener's
      *                       backlog; 0 for no limit
+     * @param clientMemory   is charged with what accepted connections make the program hold, or null
      */
-    public MinaNet(DecisionThread thread, int maxConnections) {
+    public MinaNet(DecisionThread thread, int maxConnections, ClientMemory clientMemory) {
         this.thread = thread;
+        this.clientMemory = clientMemory;
         connectionLimiter = new ConnectionLimiter(maxConnections);
         connector.setHandler(new Handler(false));
         configure(connector.getSessionConfig());
@@ -178,7 +182,7 @@
 
     @Override
     public Link dial(InetSocketAddress to, LinkEvents events) {
-        MinaLink link = new MinaLink(thread);
+        MinaLink link = new MinaLink(thread, null);
         link.setEvents(events);
         ConnectFuture future = connector.connect(to, (session, f) -> session.setAttribute(LINK_ATTRIBUTE, link));
         link.onConnecting(future);
@@ -210,7 +214,7 @@
                 Function<Link, LinkEvents> soleHandler = soleAcceptHandler;
                 Function<Link, LinkEvents> acceptHandler =
                         soleHandler != null ? soleHandler : acceptHandlers.get(session.getLocalAddress());
-                MinaLink link = new MinaLink(thread);
+                MinaLink link = new MinaLink(thread, clientMemory);
                 session.setAttribute(LINK_ATTRIBUTE, link);
                 link.onAccepted(session, acceptHandler);
             }
--- a/balancer/src/main/java/baymoor/north/North.java
+++ b/balancer/src/main/java/baymoor/north/North.java
@@ -5,6 +5,8 @@
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
 import baymoor.link.Time;
+import baymoor.memory.ClientMemory;
+import baymoor.memory.ClientMemory.Part;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -39,11 +41,10 @@
     final Counters counters;
     final Set<String> requestClasses;
     final Supplier<String> counterReport;
+    final ClientMemory memory;
     private final RequestHandler requestHandler;
     private final int maxClients;
     private final int maxPendingRequests;
-    private final long maxValueBytes;
-    private long pendingValueBytes;
     private final Map<Long, PendingReply> pendingByTicket = new HashMap<>();
     private final Set<RespClient> clients = new LinkedHashSet<>();
     /** Evicted connections that are not closed yet. */
@@ -60,7 +61,7 @@
      * @param requestClasses     names of the request classes that requests may carry
      * @param maxClients         connections above which a new one evicts an idle one or is rejected
      * @param maxPendingRequests open requests above which new ones are rejected as busy
-     * @param maxValueBytes      total size of the values of open writes above which new ones are rejected as busy
+     * @param memory             accounts for what clients make the program hold; a write whose value does not fit is rejected
      * @param counterReport      returns the counters as text, for the INFO command
      */
     public North(
@@ -70,7 +71,7 @@
             RequestHandler requestHandler,
             int maxClients,
             int maxPendingRequests,
-            long maxValueBytes,
+            ClientMemory memory,
             Supplier<String> counterReport) {
         this.time = time;
         this.counters = counters;
@@ -78,7 +79,7 @@
         this.requestHandler = requestHandler;
         this.maxClients = maxClients;
         this.maxPendingRequests = maxPendingRequests;
-        this.maxValueBytes = maxValueBytes;
+        this.memory = memory;
         this.counterReport = counterReport;
         time.schedule(TIMEOUT_CHECK_INTERVAL_MICROS, this::checkTimeouts);
     }
@@ -95,24 +96,6 @@
         return all;
     }
 
-    /** A place in a client's reply queue, for one command or for a run of equal busy replies. */
-    static final class PendingReply {
-        final RespClient client;
-        final long ticket;
-        final int valueBytes;
-        Time.Timer deadlineTimer;
-        /** The encoded reply, null until there is one. */
-        byte[] reply;
-
-        int repeatCount = 1;
-
-        PendingReply(RespClient client, long ticket, int valueBytes) {
-            this.client = client;
-            this.ticket = ticket;
-            this.valueBytes = valueBytes;
-        }
-    }
-
     /** Accepts a client's connection and returns the listener for its events. */
     public LinkEvents accept(Link link) {
         counters.increment(Count.CLIENTS_ACCEPTED);
@@ -190,8 +173,8 @@
 
     /** Returns, and counts, whether the request would exceed the limits on open requests or on their memory. */
     boolean overCapacity(ClientRequest request) {
-        boolean exceeded = pendingByTicket.size() >= maxPendingRequests
-                || pendingValueBytes + valueLength(request) > maxValueBytes;
+        boolean exceeded =
+                pendingByTicket.size() >= maxPendingRequests || !memory.hasRoomForValue(valueLength(request));
         if (exceeded) {
             counters.increment(Count.TURNED_AWAY);
         }
@@ -213,7 +196,7 @@
     PendingReply register(RespClient client, ClientRequest request) {
         counters.increment(Count.REQUESTS);
         PendingReply pending = new PendingReply(client, ++lastTicket, valueLength(request));
-        pendingValueBytes += pending.valueBytes;
+        memory.add(Part.REQUEST_VALUES, pending.valueBytes);
         pendingByTicket.put(pending.ticket, pending);
         long delay = request.deadlineMicros() + OVERDUE_GRACE_MICROS - time.now();
         pending.deadlineTimer = time.schedule(Math.max(0, delay), () -> failOverdue(pending));
@@ -244,7 +227,7 @@
         if (pending == null) {
             return false;
         }
-        pendingValueBytes -= pending.valueBytes;
+        memory.add(Part.REQUEST_VALUES, -pending.valueBytes);
         pending.deadlineTimer.cancel();
         counters.increment(
                 answer instanceof Answer.Served
@@ -263,7 +246,7 @@
         List<PendingReply> abandoned = new ArrayList<>();
         for (PendingReply pending : unanswered) {
             if (pendingByTicket.remove(pending.ticket) != null) {
-                pendingValueBytes -= pending.valueBytes;
+                memory.add(Part.REQUEST_VALUES, -pending.valueBytes);
                 pending.deadlineTimer.cancel();
                 abandoned.add(pending);
             }
--- a/balancer/src/main/java/baymoor/north/RespClient.java
+++ b/balancer/src/main/java/baymoor/north/RespClient.java
@@ -3,14 +3,12 @@
 import baymoor.counters.Count;
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
-import baymoor.north.North.PendingReply;
+import baymoor.memory.ClientMemory.Part;
 import baymoor.resp.Resp;
 import baymoor.resp.RespException;
 import baymoor.resp.RespReader;
 import baymoor.resp.RespWriter;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import java.util.Locale;
 
@@ -36,18 +34,15 @@
     /** With this many writes unsent, no more input is read; reading resumes below half of it. */
     private static final int MAX_UNSENT_WRITES = 16;
 
-    private static final int MAX_COALESCED_REJECTIONS = 1024;
-    private static final long RETRY_AFTER_MICROS = 1_000_000;
     private static final int GET_ARITY = 4;
     private static final int SET_ARITY = 5;
     private static final int MAX_ECHOED_NAME = 32;
-    private static final byte[] BUSY_REPLY = RespWriter.error(busyError(RETRY_AFTER_MICROS));
 
     private final North north;
     private final Link link;
     private final RespReader reader = RespReader.ofCommands();
-    private final Deque<PendingReply> replies = new ArrayDeque<>();
-    private int unsentWrites;
+    private final ReplyQueue replies;
+    private int chargedPartialBytes;
     /** Accepted over the connection limit: its first request is rejected and the connection closed. */
     private boolean overLimit;
     /** Input is ignored: after a protocol error, on shutdown, or once the output is closed. */
@@ -71,6 +66,7 @@
     RespClient(North north, Link link) {
         this.north = north;
         this.link = link;
+        replies = new ReplyQueue(link, north.memory);
         progressMicros = north.time.now();
         commandStartMicros = progressMicros;
     }
@@ -101,7 +97,7 @@
                 && !inputStopped
                 && !closing
                 && isIdle()
-                && unsentWrites == 0
+                && replies.unsentWrites() == 0
                 && north.time.now() - progressMicros > micros;
     }
 
@@ -129,7 +125,7 @@
                 && (!commandReceived || reader.hasPartialInput());
         if (inputStopped || closing
                 ? replies.isEmpty() && now - progressMicros > CLOSE_TIMEOUT_MICROS
-                : unsentWrites > 0 && now - progressMicros > WRITE_TIMEOUT_MICROS) {
+                : replies.unsentWrites() > 0 && now - progressMicros > WRITE_TIMEOUT_MICROS) {
             north.counters.increment(Count.CLIENTS_STUCK);
             link.close();
         } else if (awaitingCommand && now - commandStartMicros > COMMAND_TIMEOUT_MICROS) {
@@ -224,6 +220,13 @@
         processCommands();
     }
 
+    /** Charges the memory that holds the partial command, if there is one. */
+    private void chargePartialCommand() {
+        int partialBytes = !disconnected && reader.hasPartialInput() ? reader.capacity() : 0;
+        north.memory.add(Part.PARTIAL_COMMANDS, partialBytes - chargedPartialBytes);
+        chargedPartialBytes = partialBytes;
+    }
+
     private void processCommands() {
         try {
             while (!inputStopped && !writeBacklogFull()) {
@@ -248,6 +251,7 @@
             north.counters.increment(Count.COMMANDS_BAD);
             replyAndClose(RespWriter.error("ERR Protocol error: " + e.getMessage()));
         }
+        chargePartialCommand();
         if (!inputStopped && writeBacklogFull() != readingPaused) {
             readingPaused = !readingPaused;
             link.setReading(!readingPaused);
@@ -259,7 +263,7 @@
      * Unanswered commands don't count, since a disconnect goes unnoticed while reading is paused.
      */
     private boolean writeBacklogFull() {
-        return unsentWrites >= MAX_UNSENT_WRITES;
+        return replies.unsentWrites() >= MAX_UNSENT_WRITES;
     }
 
     private void execute(List<byte[]> arguments) {
@@ -311,50 +315,30 @@
             return;
         }
         PendingReply pending = north.register(this, request);
-        replies.addLast(pending);
+        replies.add(pending);
         north.dispatch(pending, request);
     }
 
-    /** Enqueues a busy reply. Consecutive ones share an entry with a count, so that their number takes no memory. */
     private void rejectBusy() {
-        PendingReply last = replies.peekLast();
-        if (last != null && last.reply == BUSY_REPLY) {
-            last.repeatCount++;
-        } else {
-            enqueueReply(BUSY_REPLY);
+        if (replies.addBusy(this)) {
+            flush();
         }
     }
 
     private void enqueueReply(byte[] reply) {
-        PendingReply pending = new PendingReply(this, 0, 0);
-        pending.reply = reply;
-        replies.addLast(pending);
+        replies.add(this, reply);
         flush();
     }
 
     void complete(PendingReply pending, Answer answer) {
-        pending.reply = answer instanceof Answer.Served served
-                ? RespWriter.bulk(served.value())
-                : answer instanceof Answer.BackOff backOff
-                        ? RespWriter.error(busyError(backOff.afterMicros()))
-                        : RespWriter.error("ERR failed");
+        replies.complete(pending, answer);
         flush();
     }
 
-    private static String busyError(long micros) {
-        return micros > 0 ? "BUSY " + (micros + 999) / 1000 : "BUSY";
-    }
-
     private void flush() {
-        while (!replies.isEmpty() && replies.peekFirst().reply != null && unsentWrites < MAX_PENDING_REPLIES) {
-            progressMicros = unsentWrites++ == 0 && !inputStopped ? north.time.now() : progressMicros;
-            PendingReply first = replies.peekFirst();
-            int batch = Math.min(first.repeatCount, MAX_COALESCED_REJECTIONS);
-            first.repeatCount -= batch;
-            if (first.repeatCount == 0) {
-                replies.removeFirst();
-            }
-            link.write(batch == 1 ? first.reply : RespWriter.repeat(first.reply, batch));
+        while (replies.isReady()) {
+            progressMicros = replies.unsentWrites() == 0 && !inputStopped ? north.time.now() : progressMicros;
+            replies.writeNext();
         }
         if (replies.isEmpty() && (inputStopped || (overLimit || north.isDraining()) && isIdle())) {
             closeAfterReplies();
@@ -365,9 +349,9 @@
 
     @Override
     public void written() {
-        unsentWrites--;
+        replies.sent();
         progressMicros = inputStopped ? progressMicros : north.time.now();
-        if (unsentWrites == 0 && replies.isEmpty() && commandReceived && !inputStopped && !closing) {
+        if (replies.unsentWrites() == 0 && replies.isEmpty() && commandReceived && !inputStopped && !closing) {
             north.markIdle(this);
         }
         if (replies.isEmpty()) {
@@ -378,7 +362,7 @@
     }
 
     private void resumeReading() {
-        if (readingPaused && !inputStopped && unsentWrites < MAX_UNSENT_WRITES / 2) {
+        if (readingPaused && !inputStopped && replies.unsentWrites() < MAX_UNSENT_WRITES / 2) {
             processCommands();
         }
     }
@@ -394,7 +378,7 @@
     /** Drops the pending replies and reports the disconnect. */
     private void abandonPending() {
         inputStopped = true;
-        north.clientDisconnected(this, List.copyOf(replies));
-        replies.clear();
+        chargePartialCommand();
+        north.clientDisconnected(this, replies.clear());
     }
 }
--- a/balancer/src/main/java/baymoor/resp/RespReader.java
+++ b/balancer/src/main/java/baymoor/resp/RespReader.java
@@ -77,6 +77,11 @@
         return value;
     }
 
+    /** Returns the size of the buffer that holds the input, in bytes. */
+    public int capacity() {
+        return buffer.length;
+    }
+
     /** Returns whether part of the input belongs to no value returned so far. */
     public boolean hasPartialInput() {
         return end > start;
--- a/balancer/src/main/java/baymoor/serve/Balancer.java
+++ b/balancer/src/main/java/baymoor/serve/Balancer.java
@@ -3,6 +3,7 @@
 import baymoor.assembly.Assembly;
 import baymoor.config.Settings;
 import baymoor.counters.Counters;
+import baymoor.memory.ClientMemory;
 import baymoor.net.DecisionThread;
 import baymoor.net.MinaNet;
 import java.io.IOException;
@@ -14,15 +15,13 @@
 /** One balancer on sockets: starts it, reloads its configuration and drains it. */
 final class Balancer {
 
-    /** The part of the heap that values of pending writes may take is one over this. */
-    private static final int WRITE_VALUE_HEAP_DIVISOR = 6;
-
     /** How much longer than the longest drain the process waits for it to end. */
     private static final long DRAIN_TIMEOUT_MARGIN_MICROS = 600_000;
 
     private final Settings settings;
     private final Log log;
     private final DecisionThread decisionThread;
+    private final ClientMemory clientMemory;
     private final MinaNet net;
     private final Assembly assembly;
     private final CountDownLatch readyToListen = new CountDownLatch(1);
@@ -35,7 +34,8 @@
         this.log = log;
         Counters counters = new Counters();
         decisionThread = new DecisionThread(counters, log);
-        net = new MinaNet(decisionThread, Assembly.maxAcceptedConnections(settings));
+        clientMemory = new ClientMemory(Runtime.getRuntime().maxMemory());
+        net = new MinaNet(decisionThread, Assembly.maxAcceptedConnections(settings), clientMemory);
         long clockOffsetMicros = decisionThread.clockMicros() - System.currentTimeMillis() * 1000;
         assembly = new Assembly(
                 settings,
@@ -44,7 +44,7 @@
                         net,
                         net,
                         unixMillis -> unixMillis * 1000 + clockOffsetMicros,
-                        Runtime.getRuntime().maxMemory() / WRITE_VALUE_HEAP_DIVISOR,
+                        clientMemory,
                         counters,
                         log));
     }
@@ -68,6 +68,24 @@
         }
     }
 
+    /** Logs that an error has ended a thread, with what clients make the program hold. */
+    void threadDied(Thread thread, Throwable error) {
+        Map<String, String> fields = new LinkedHashMap<>();
+        fields.put("thread", thread.getName());
+        fields.put("error", error.toString());
+        fields.putAll(nameValues(clientMemory.report()));
+        log.event("ERROR", "thread-died", fields);
+    }
+
+    private static Map<String, String> nameValues(String report) {
+        Map<String, String> values = new LinkedHashMap<>();
+        report.lines().forEach(line -> {
+            int colon = line.indexOf(':');
+            values.put(line.substring(0, colon), line.substring(colon + 1));
+        });
+        return values;
+    }
+
     /** Applies a new configuration on the decision thread. */
     void reload(Settings newSettings) {
         decisionThread.post(() -> assembly.reload(newSettings));
@@ -91,11 +109,6 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        Map<String, String> counterValues = new LinkedHashMap<>();
-        assembly.counters().report().lines().forEach(line -> {
-            int colon = line.indexOf(':');
-            counterValues.put(line.substring(0, colon), line.substring(colon + 1));
-        });
-        log.event("INFO", "counters", counterValues);
+        log.event("INFO", "counters", nameValues(assembly.counterReport()));
     }
 }
--- a/balancer/src/main/java/baymoor/serve/Main.java
+++ b/balancer/src/main/java/baymoor/serve/Main.java
@@ -37,6 +37,7 @@
             Settings settings = Config.read(System.getenv());
             Log log = Log.fromEnvironment(System.getenv(), settings.name());
             Balancer balancer = new Balancer(settings, log);
+            Thread.setDefaultUncaughtExceptionHandler(balancer::threadDied);
             if (warmUpOnly) { // after the balancer was created, so that its classes are archived too
                 WarmUp.runWithSockets(settings, WARM_UP_REQUESTS);
                 new Log(new PrintStream(OutputStream.nullOutputStream()), Clock.systemUTC(), "", false).accept("a: b");
--- a/balancer/src/main/java/baymoor/serve/WarmUp.java
+++ b/balancer/src/main/java/baymoor/serve/WarmUp.java
@@ -6,6 +6,7 @@
 import baymoor.inventory.Inventory;
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
+import baymoor.memory.ClientMemory;
 import baymoor.net.DecisionThread;
 import baymoor.net.MinaNet;
 import baymoor.north.North;
@@ -32,7 +33,7 @@
 
     private static final int CLIENTS = 4;
     private static final int MAX_HOST_CONNECTIONS = 64;
-    private static final long MAX_VALUE_BYTES = 1 << 20;
+    private static final long HEAP_BYTES = 6 << 20;
     /** Of this many requests one is a miss and one is of each class but the first, since attempts at the origin are paced. */
     private static final int VARIANT_INTERVAL = 32;
 
@@ -68,7 +69,7 @@
                 dispatcher,
                 CLIENTS,
                 CLIENTS,
-                MAX_VALUE_BYTES,
+                new ClientMemory(HEAP_BYTES),
                 counters::report);
         int originKind = decisionSettings.origin().kind();
         String origin = originKind >= 0 && originKind < decisionSettings.kinds().size()
--- a/balancer/src/test/java/baymoor/assembly/EveryFieldTest.java
+++ b/balancer/src/test/java/baymoor/assembly/EveryFieldTest.java
@@ -10,6 +10,7 @@
 import baymoor.counters.Count;
 import baymoor.counters.Counters;
 import baymoor.link.LinkEvents;
+import baymoor.memory.ClientMemory;
 import baymoor.resp.RespWriter;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -125,7 +126,7 @@
                             },
                             (to, content) -> {},
                             millis -> millis * 1000,
-                            1 << 20,
+                            new ClientMemory(6 << 20),
                             counters,
                             line -> {}));
             assembly.start(() -> {});
--- a/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
+++ b/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
@@ -8,6 +8,7 @@
 import baymoor.counters.Count;
 import baymoor.counters.Counters;
 import baymoor.inventory.Inventory;
+import baymoor.memory.ClientMemory;
 import baymoor.north.North;
 import baymoor.peers.Peers;
 import baymoor.south.South;
@@ -69,7 +70,8 @@
                 time,
                 counters,
                 line -> {});
-        north = new North(time, counters, Set.of("read", "keyed", "once"), dispatcher, 9, 9, 1 << 20, () -> "");
+        north = new North(
+                time, counters, Set.of("read", "keyed", "once"), dispatcher, 9, 9, new ClientMemory(6 << 20), () -> "");
         South south = new South(
                 (to, events) -> {
                     FakeLink link = new FakeLink();
--- a/balancer/src/test/java/baymoor/net/ConnectionLimiterTest.java
+++ b/balancer/src/test/java/baymoor/net/ConnectionLimiterTest.java
@@ -24,7 +24,7 @@
     @Test
     public void acceptingWaitsAtTheLimitUntilAConnectionCloses() throws Exception {
         DecisionThread thread = new DecisionThread(new Counters(), line -> {});
-        MinaNet net = new MinaNet(thread, 3);
+        MinaNet net = new MinaNet(thread, 3, null);
         new Thread(thread, "decisions").start();
         BlockingQueue<Link> links = new LinkedBlockingQueue<>();
         InetSocketAddress address = net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), link -> {
--- a/balancer/src/test/java/baymoor/north/NorthTest.java
+++ b/balancer/src/test/java/baymoor/north/NorthTest.java
@@ -7,6 +7,7 @@
 import baymoor.FakeLink;
 import baymoor.ManualTime;
 import baymoor.counters.Counters;
+import baymoor.memory.ClientMemory;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -41,7 +42,7 @@
             },
             2,
             200,
-            1 << 20,
+            new ClientMemory(6 << 20),
             () -> "requests:1\n");
 
     @Before
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualFleet.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualFleet.java
@@ -13,6 +13,7 @@
 import baymoor.emulator.world.BalancerConfig;
 import baymoor.emulator.world.Fleet;
 import baymoor.emulator.world.World;
+import baymoor.memory.ClientMemory;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -29,7 +30,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(VirtualFleet.class);
     /** Equals the limit with a heap of 48 MB; fixed so that a run does not depend on the heap of the emulator. */
-    private static final long MAX_VALUE_BYTES = 8 << 20;
+    private static final long HEAP_BYTES = 48 << 20;
 
     private final Engine engine;
     private final Scenario scenario;
@@ -112,7 +113,7 @@
                             faults.wrapDialer(b.process, net.dialer(b.process)),
                             (to, content) -> net.send(b.process, platform.peer(b.number, b.number), to, content),
                             millis -> millis * 1000,
-                            MAX_VALUE_BYTES,
+                            new ClientMemory(HEAP_BYTES),
                             new Counters(),
                             line -> LOG.atDebug()
                                     .addKeyValue("instance", b.process.name())
--- a/scale/src/main/java/baymoor/scale/hollow/HollowBalancer.java
+++ b/scale/src/main/java/baymoor/scale/hollow/HollowBalancer.java
@@ -10,6 +10,7 @@
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
 import baymoor.link.Time;
+import baymoor.memory.ClientMemory;
 import baymoor.scale.loop.DecisionLoop;
 import baymoor.scale.loop.PeerSocket;
 import baymoor.scale.loop.RunClock;
@@ -42,7 +43,7 @@
             Map<InetSocketAddress, Integer> numbers,
             Consumer<String> log) {}
 
-    private static final long MOST_VALUE_BYTES = 4 << 20;
+    private static final long HEAP_BYTES = 24 << 20;
 
     private final int number;
     private final DecisionLoop loop;
@@ -85,7 +86,7 @@
                             this::dial,
                             this::send,
                             sinceMillis -> sinceMillis * 1000 + clocksApart,
-                            MOST_VALUE_BYTES,
+                            new ClientMemory(HEAP_BYTES),
                             counters,
                             line -> {}));
             parts.start(this::serve);
