Wake the selector when reading from a connection resumes

What callers saw: input of a connection whose reading had been suspended was read up to 1 s after it was resumed, on a quiet process.

Cause: MINA's resumeRead changes the key's interest without a wake-up; a waiting selector takes it in at its time-out of 1 s.

Change: MinaLink asks the processor for the update, which wakes the selector. MinaNet holds the one processor directly, as the pool does not pass this call on, and names its thread io.

Looked at: setReading after unsent replies, the backlog of undelivered bytes, the half-close; all go through updateReading.

--- a/balancer/src/main/java/baymoor/net/MinaLink.java
+++ b/balancer/src/main/java/baymoor/net/MinaLink.java
@@ -12,6 +12,8 @@
 import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.core.write.DefaultWriteRequest;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
 
 /**
  * One TCP connection on a MINA session. Its {@link LinkEvents} are called on the decision thread only, which also calls the
@@ -27,6 +29,7 @@
     private static final int ANY_READ_COUNT = -1;
 
     private final DecisionThread thread;
+    private final NioProcessor processor;
     private final ClientMemory memory;
     private LinkEvents events;
     private volatile IoSession session;
@@ -51,9 +54,13 @@
     /** Whether more bytes wait for delivery than {@link #MAX_UNDELIVERED_BYTES}. */
     private boolean backlogged;
 
-    /** @param memory is charged with the bytes that wait for delivery, or null */
-    MinaLink(DecisionThread thread, ClientMemory memory) {
+    /**
+     * @param processor does the I/O of the connection
+     * @param memory    is charged with the bytes that wait for delivery, or null
+     */
+    MinaLink(DecisionThread thread, NioProcessor processor, ClientMemory memory) {
         this.thread = thread;
+        this.processor = processor;
         this.memory = memory;
     }
 
@@ -125,6 +132,8 @@
         boolean isReading = readingRequested && !backlogged;
         if (isReading && !wasReading) {
             session.resumeRead();
+            // The change alone would take effect only when the selector next wakes up, up to 1 s later.
+            processor.updateTrafficMask((NioSession) session);
         } else if (wasReading && !isReading) {
             session.suspendRead();
         }
--- a/balancer/src/main/java/baymoor/net/MinaNet.java
+++ b/balancer/src/main/java/baymoor/net/MinaNet.java
@@ -12,13 +12,14 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.IoProcessor;
-import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.IdleStatus;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
@@ -40,15 +41,16 @@
     private static final int MAX_READ_BUFFER_BYTES = 64 * 1024;
 
     private final DecisionThread thread;
-    private final SimpleIoProcessorPool<NioSession> processors = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
-    private final NioSocketConnector connector = new NioSocketConnector(processors);
+    private final ExecutorService ioExecutor = Executors.newCachedThreadPool(task -> new Thread(task, "io"));
+    private final NioProcessor processor = new NioProcessor(ioExecutor);
+    private final NioSocketConnector connector = new NioSocketConnector(processor);
     private final ConnectionLimiter connectionLimiter;
     private final ClientMemory clientMemory;
-    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(processors) {
+    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(processor) {
         @Override
-        protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
+        protected NioSession accept(IoProcessor<NioSession> ioProcessor, ServerSocketChannel handle) throws Exception {
             connectionLimiter.awaitCapacity();
-            NioSession session = super.accept(processor, handle);
+            NioSession session = super.accept(ioProcessor, handle);
             if (session != null) {
                 connectionLimiter.connectionOpened();
             }
@@ -170,7 +172,8 @@
         if (datagrams != null) {
             datagrams.dispose();
         }
-        processors.dispose();
+        processor.dispose();
+        ioExecutor.shutdown();
     }
 
     @Override
@@ -182,7 +185,7 @@
 
     @Override
     public Link dial(InetSocketAddress to, LinkEvents events) {
-        MinaLink link = new MinaLink(thread, null);
+        MinaLink link = new MinaLink(thread, processor, null);
         link.setEvents(events);
         ConnectFuture future = connector.connect(to, (session, f) -> session.setAttribute(LINK_ATTRIBUTE, link));
         link.onConnecting(future);
@@ -214,7 +217,7 @@
                 Function<Link, LinkEvents> soleHandler = soleAcceptHandler;
                 Function<Link, LinkEvents> acceptHandler =
                         soleHandler != null ? soleHandler : acceptHandlers.get(session.getLocalAddress());
-                MinaLink link = new MinaLink(thread, clientMemory);
+                MinaLink link = new MinaLink(thread, processor, clientMemory);
                 session.setAttribute(LINK_ATTRIBUTE, link);
                 link.onAccepted(session, acceptHandler);
             }
--- a/balancer/src/test/java/baymoor/net/MinaLinkTest.java
+++ b/balancer/src/test/java/baymoor/net/MinaLinkTest.java
@@ -13,6 +13,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -183,6 +184,25 @@
         assertFalse(link.hasUnreadBytes());
     }
 
+    /** Guards against input that waited up to a second for the selector to notice that reading goes on. */
+    @Test
+    public void readingGoesOnAtOnceWhenItIsResumed() throws Exception {
+        link.setReading(false);
+        long sentNanos = System.nanoTime();
+        int rounds = 20;
+        for (int i = 0; i < rounds; i++) {
+            send("a");
+            thread.post(() -> link.setReading(true));
+            assertEquals("a", nextDelivered());
+            thread.post(() -> link.setReading(false));
+            CountDownLatch paused = new CountDownLatch(1);
+            thread.post(paused::countDown);
+            assertTrue(paused.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        }
+        long meanMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos) / rounds;
+        assertTrue(meanMillis + " ms a round", meanMillis < 100);
+    }
+
     @Test
     public void overIsTrueBeforeTheClosedEventIsDelivered() throws Exception {
         onReceived = text -> {
