--- a/balancer/src/main/java/baymoor/counters/Count.java
+++ b/balancer/src/main/java/baymoor/counters/Count.java
@@ -17,6 +17,7 @@
     FAILED,
     OVERDUE,
     TURNED_AWAY,
+    VALUES_DROPPED,
     RELAYS,
     RELAYS_SERVED,
     RELAYS_MISS,
--- a/balancer/src/main/java/baymoor/link/Link.java
+++ b/balancer/src/main/java/baymoor/link/Link.java
@@ -25,6 +25,12 @@
     /** Returns whether the connection is closed, even if {@link LinkEvents#closed} has not reported it yet. */
     boolean isClosed();
 
+    /**
+     * Sets how many bytes may wait for {@link LinkEvents#received}, past which the peer is held back. An implementation that does
+     * not read ahead of the state machine may ignore it.
+     */
+    default void setReceiveWindow(int bytes) {}
+
     /** Pauses or resumes reading, for backpressure on a peer that sends faster than it is served. */
     void setReading(boolean on);
 }
--- a/balancer/src/main/java/baymoor/memory/ClientMemory.java
+++ b/balancer/src/main/java/baymoor/memory/ClientMemory.java
@@ -3,39 +3,83 @@
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicLongArray;
 
-/** Accounts for the memory that clients make the program hold, by what it is held for. Thread-safe. */
+/**
+ * The budget for the memory that clients can make the program hold. Each connection has a small window of its own, so that usual
+ * commands are read whatever other clients hold; what needs more is charged to a part of the heap, and rejected if the part is
+ * used up. Thread-safe.
+ */
 public final class ClientMemory {
 
     /** What memory is held for. */
     public enum Part {
-        /** Bytes read from clients' sockets that wait for the decision thread. */
-        UNDELIVERED_INPUT,
-        /** Commands that have been received in part. */
-        PARTIAL_COMMANDS,
+        /** Bytes read from clients' sockets that wait for the decision thread; limited by the connections' windows. */
+        UNDELIVERED_INPUT(1),
+        /** Commands larger than a connection's window that have been received in part. */
+        PARTIAL_COMMANDS(8),
         /** Values of open writes. */
-        REQUEST_VALUES,
+        REQUEST_VALUES(6),
         /** Replies that wait for earlier ones, or for the client to read. */
-        UNSENT_REPLIES
+        UNSENT_REPLIES(6);
+
+        private final int heapDivisor;
+
+        /** @param heapDivisor the part may take one over this of the heap */
+        Part(int heapDivisor) {
+            this.heapDivisor = heapDivisor;
+        }
     }
 
-    /** The part of the heap that values of open writes may take is one over this. */
-    private static final int REQUEST_VALUES_DIVISOR = 6;
+    /** The windows of all connections together take one over this of the heap. */
+    private static final int WINDOWS_HEAP_DIVISOR = 32;
 
-    private final long maxRequestValueBytes;
+    private static final int MIN_WINDOW_BYTES = 1024;
+    private static final int MAX_WINDOW_BYTES = 8 * 1024;
+
+    private final long heapBytes;
+    private final int connectionWindowBytes;
     private final AtomicLongArray heldBytes = new AtomicLongArray(Part.values().length);
     private final AtomicLongArray peakBytes = new AtomicLongArray(Part.values().length);
 
-    /** @param heapBytes the size of the heap, of which each part may take a share */
-    public ClientMemory(long heapBytes) {
-        maxRequestValueBytes = heapBytes / REQUEST_VALUES_DIVISOR;
+    /**
+     * Divides the heap.
+     *
+     * @param heapBytes      the size of the heap
+     * @param maxConnections the highest number of open client connections
+     */
+    public ClientMemory(long heapBytes, int maxConnections) {
+        this.heapBytes = heapBytes;
+        long evenShare = heapBytes / WINDOWS_HEAP_DIVISOR / Math.max(1, maxConnections);
+        connectionWindowBytes = (int) Math.max(MIN_WINDOW_BYTES, Math.min(MAX_WINDOW_BYTES, evenShare));
+    }
+
+    /**
+     * Returns how many bytes of input each connection may hold without a reservation: as many may wait for the decision thread,
+     * and as many may belong to a partial command.
+     */
+    public int connectionWindowBytes() {
+        return connectionWindowBytes;
     }
 
-    /** Returns whether another open write with a value of this size is within the limit of the values. */
-    public boolean hasRoomForValue(int bytes) {
-        return held(Part.REQUEST_VALUES) + bytes <= maxRequestValueBytes;
+    /** Returns whether a part has room for so many more bytes. */
+    public boolean hasRoom(Part part, long bytes) {
+        return held(part) + bytes <= limit(part);
+    }
+
+    /** Returns how many bytes a part may take. */
+    public long limit(Part part) {
+        return heapBytes / part.heapDivisor;
+    }
+
+    /** Charges a part, unless it has no room; returns whether it was charged. */
+    public boolean tryReserve(Part part, long bytes) {
+        boolean reserved = hasRoom(part, bytes);
+        if (reserved) {
+            add(part, bytes);
+        }
+        return reserved;
     }
 
-    /** Adds to a part, or releases from it where {@code bytes} is negative. */
+    /** Charges a part whether or not it has room, or releases from it where {@code bytes} is negative. */
     public void add(Part part, long bytes) {
         long held = heldBytes.addAndGet(part.ordinal(), bytes);
         peakBytes.accumulateAndGet(part.ordinal(), held, Math::max);
--- a/balancer/src/main/java/baymoor/net/MinaLink.java
+++ b/balancer/src/main/java/baymoor/net/MinaLink.java
@@ -21,8 +21,13 @@
  */
 final class MinaLink implements Link {
 
-    /** Reading is suspended above this, so that a fast sender is held back by TCP flow control. */
-    private static final int MAX_UNDELIVERED_BYTES = 128 * 1024;
+    /** The receive window of a connection that is not a client's. */
+    private static final int DEFAULT_WINDOW_BYTES = 128 * 1024;
+    /** What a read takes beside its bytes while it waits for the decision thread. */
+    private static final int READ_OVERHEAD_BYTES = 128;
+
+    private static final int USUAL_READ_BUFFER_BYTES = 2048;
+    private static final int MAX_READ_BUFFER_BYTES = 64 * 1024;
     /** A peer that sends more than this after the output was shut down is disconnected. */
     private static final int MAX_DISCARDED_BYTES = 64 * 1024;
 
@@ -51,7 +56,10 @@
     /** Whether the state machine wants bytes. */
     private boolean readingRequested = true;
 
-    /** Whether more bytes wait for delivery than {@link #MAX_UNDELIVERED_BYTES}. */
+    /** Reading is suspended while more bytes than this wait for delivery, so that TCP flow control holds back a fast sender. */
+    private volatile int receiveWindowBytes;
+
+    /** Whether more bytes wait for delivery than {@link #receiveWindowBytes}. */
     private boolean backlogged;
 
     /**
@@ -62,6 +70,7 @@
         this.thread = thread;
         this.processor = processor;
         this.memory = memory;
+        receiveWindowBytes = memory == null ? DEFAULT_WINDOW_BYTES : memory.connectionWindowBytes();
     }
 
     /** Sets the receiver of events, before the first event is posted. */
@@ -71,6 +80,9 @@
 
     void onAccepted(IoSession acceptedSession, Function<Link, LinkEvents> acceptHandler) {
         session = acceptedSession;
+        if (memory != null) {
+            setReceiveWindow(receiveWindowBytes);
+        }
         thread.post(() -> events = acceptHandler.apply(this));
     }
 
@@ -102,12 +114,12 @@
             return;
         }
         readCount++;
-        if (addUndelivered(bytes.length) > MAX_UNDELIVERED_BYTES) {
+        if (addUndelivered(bytes.length + READ_OVERHEAD_BYTES) > receiveWindowBytes) {
             updateReading(true, null);
         }
         thread.post(() -> {
             deliveredReads++;
-            boolean caughtUp = addUndelivered(-bytes.length) <= MAX_UNDELIVERED_BYTES / 2;
+            boolean caughtUp = addUndelivered(-bytes.length - READ_OVERHEAD_BYTES) <= receiveWindowBytes / 2;
             if (!closedDelivered) {
                 events.received(bytes);
             }
@@ -215,6 +227,15 @@
         return disconnected;
     }
 
+    @Override
+    public void setReceiveWindow(int bytes) {
+        receiveWindowBytes = bytes;
+        int maxReadBytes = Math.min(MAX_READ_BUFFER_BYTES, bytes);
+        boolean widened = bytes > memory.connectionWindowBytes();
+        session.getConfig().setMaxReadBufferSize(maxReadBytes);
+        session.getConfig().setReadBufferSize(widened ? maxReadBytes : Math.min(USUAL_READ_BUFFER_BYTES, maxReadBytes));
+    }
+
     @Override
     public void setReading(boolean on) {
         updateReading(null, on);
--- a/balancer/src/main/java/baymoor/north/North.java
+++ b/balancer/src/main/java/baymoor/north/North.java
@@ -173,8 +173,8 @@
 
     /** Returns, and counts, whether the request would exceed the limits on open requests or on their memory. */
     boolean overCapacity(ClientRequest request) {
-        boolean exceeded =
-                pendingByTicket.size() >= maxPendingRequests || !memory.hasRoomForValue(valueLength(request));
+        boolean exceeded = pendingByTicket.size() >= maxPendingRequests
+                || !memory.hasRoom(Part.REQUEST_VALUES, valueLength(request));
         if (exceeded) {
             counters.increment(Count.TURNED_AWAY);
         }
@@ -222,11 +222,12 @@
     }
 
     /** Sends the request's final response; returns false if the request is not open any more. */
-    public boolean answer(long ticket, Answer answer) {
+    public boolean answer(long ticket, Answer result) {
         PendingReply pending = pendingByTicket.remove(ticket);
         if (pending == null) {
             return false;
         }
+        Answer answer = withinMemory(result);
         memory.add(Part.REQUEST_VALUES, -pending.valueBytes);
         pending.deadlineTimer.cancel();
         counters.increment(
@@ -237,6 +238,17 @@
         return true;
     }
 
+    /** Returns the answer, or a failure in place of a value that there is no memory for until the client has read it. */
+    private Answer withinMemory(Answer answer) {
+        if (answer instanceof Answer.Served served
+                && served.value().length > memory.connectionWindowBytes()
+                && !memory.hasRoom(Part.UNSENT_REPLIES, served.value().length)) {
+            counters.increment(Count.VALUES_DROPPED);
+            return new Answer.Failed();
+        }
+        return answer;
+    }
+
     /** Forgets a client and reports those of its requests that are still open as abandoned. */
     void clientDisconnected(RespClient client, Iterable<PendingReply> unanswered) {
         counters.increment(Count.CLIENTS_CLOSED);
--- a/balancer/src/main/java/baymoor/north/RespClient.java
+++ b/balancer/src/main/java/baymoor/north/RespClient.java
@@ -6,7 +6,6 @@
 import baymoor.memory.ClientMemory.Part;
 import baymoor.resp.Resp;
 import baymoor.resp.RespException;
-import baymoor.resp.RespReader;
 import baymoor.resp.RespWriter;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -27,6 +26,8 @@
     private static final long IDLE_TIMEOUT_MICROS = 15_000_000;
     /** Longest time without progress while written replies have not left. */
     private static final long WRITE_TIMEOUT_MICROS = 5_000_000;
+    /** The same while the memory for unsent replies is half used up. */
+    private static final long SCARCE_WRITE_TIMEOUT_MICROS = 1_000_000;
     /** Longest time between closing this side of the connection and the client closing its own. */
     private static final long CLOSE_TIMEOUT_MICROS = 1_000_000;
     /** With this many replies pending, further commands are rejected as busy. */
@@ -40,9 +41,8 @@
 
     private final North north;
     private final Link link;
-    private final RespReader reader = RespReader.ofCommands();
+    private final CommandInput input;
     private final ReplyQueue replies;
-    private int chargedPartialBytes;
     /** Accepted over the connection limit: its first request is rejected and the connection closed. */
     private boolean overLimit;
     /** Input is ignored: after a protocol error, on shutdown, or once the output is closed. */
@@ -66,6 +66,7 @@
     RespClient(North north, Link link) {
         this.north = north;
         this.link = link;
+        input = new CommandInput(link, north.memory);
         replies = new ReplyQueue(link, north.memory);
         progressMicros = north.time.now();
         commandStartMicros = progressMicros;
@@ -122,10 +123,10 @@
                 && !closing
                 && !readingPaused
                 && !link.hasUnreadBytes()
-                && (!commandReceived || reader.hasPartialInput());
+                && (!commandReceived || input.hasPartialCommand());
         if (inputStopped || closing
                 ? replies.isEmpty() && now - progressMicros > CLOSE_TIMEOUT_MICROS
-                : replies.unsentWrites() > 0 && now - progressMicros > WRITE_TIMEOUT_MICROS) {
+                : replies.unsentWrites() > 0 && now - progressMicros > writeTimeoutMicros()) {
             north.counters.increment(Count.CLIENTS_STUCK);
             link.close();
         } else if (awaitingCommand && now - commandStartMicros > COMMAND_TIMEOUT_MICROS) {
@@ -142,9 +143,15 @@
         }
     }
 
+    /** Returns the write timeout, which is shorter while unsent replies of all clients take much of their memory. */
+    private long writeTimeoutMicros() {
+        boolean scarce = !north.memory.hasRoom(Part.UNSENT_REPLIES, north.memory.limit(Part.UNSENT_REPLIES) / 2);
+        return scarce ? SCARCE_WRITE_TIMEOUT_MICROS : WRITE_TIMEOUT_MICROS;
+    }
+
     /** Returns whether no reply is pending and no input is unprocessed. */
     boolean isIdle() {
-        return replies.isEmpty() && !reader.hasPartialInput() && !link.hasUnreadBytes();
+        return replies.isEmpty() && !input.hasPartialCommand() && !link.hasUnreadBytes();
     }
 
     /** Returns whether all replies have been sent and the output is closed. */
@@ -214,30 +221,23 @@
         closing = false; // the input preceded the closing of the output
         north.markBusy(this);
         north.markUsed(this);
-        commandStartMicros = reader.hasPartialInput() ? commandStartMicros : north.time.now();
+        commandStartMicros = input.hasPartialCommand() ? commandStartMicros : north.time.now();
         receivedMicros = north.time.earliestArrivalMicros();
-        reader.feed(bytes);
+        input.feed(bytes);
         processCommands();
     }
 
-    /** Charges the memory that holds the partial command, if there is one. */
-    private void chargePartialCommand() {
-        int partialBytes = !disconnected && reader.hasPartialInput() ? reader.capacity() : 0;
-        north.memory.add(Part.PARTIAL_COMMANDS, partialBytes - chargedPartialBytes);
-        chargedPartialBytes = partialBytes;
-    }
-
     private void processCommands() {
         try {
             while (!inputStopped && !writeBacklogFull()) {
-                Resp command = reader.next();
+                Resp command = input.next();
                 if (command == null) {
                     break;
                 }
                 commandReceived = true;
                 progressMicros = north.time.now();
                 commandStartMicros = progressMicros;
-                if (replies.size() >= MAX_PENDING_REPLIES) {
+                if (command instanceof Resp.SkippedCommand || replies.size() >= MAX_PENDING_REPLIES) {
                     north.counters.increment(Count.TURNED_AWAY);
                     rejectBusy();
                     continue;
@@ -251,7 +251,6 @@
             north.counters.increment(Count.COMMANDS_BAD);
             replyAndClose(RespWriter.error("ERR Protocol error: " + e.getMessage()));
         }
-        chargePartialCommand();
         if (!inputStopped && writeBacklogFull() != readingPaused) {
             readingPaused = !readingPaused;
             link.setReading(!readingPaused);
@@ -378,7 +377,7 @@
     /** Drops the pending replies and reports the disconnect. */
     private void abandonPending() {
         inputStopped = true;
-        chargePartialCommand();
+        input.release();
         north.clientDisconnected(this, replies.clear());
     }
 }
--- a/balancer/src/main/java/baymoor/resp/Resp.java
+++ b/balancer/src/main/java/baymoor/resp/Resp.java
@@ -17,6 +17,9 @@
     /** A bulk string; {@code bytes} is null for the null bulk string. */
     record BulkString(byte[] bytes) implements Resp {}
 
+    /** A command that was skipped, and whose content was not kept. */
+    record SkippedCommand() implements Resp {}
+
     /** An array; {@code items} is null for the null array. */
     record Array(List<Resp> items) implements Resp {}
 }
--- a/balancer/src/main/java/baymoor/resp/RespReader.java
+++ b/balancer/src/main/java/baymoor/resp/RespReader.java
@@ -13,9 +13,9 @@
 
     private static final int MAX_LINE_LENGTH = 1024;
     /** Rejects garbage in place of a length or integer early, without waiting for the end of its line. */
-    private static final int MAX_NUMBER_LENGTH = 24;
+    static final int MAX_NUMBER_LENGTH = 24;
 
-    private static final int MAX_ARRAY_LENGTH = 64;
+    static final int MAX_ARRAY_LENGTH = 64;
     private static final int MAX_ARRAY_DEPTH = 3;
     private static final int MAX_MESSAGE_LENGTH = MAX_BULK_LENGTH + 16 * 1024;
     private static final int INITIAL_CAPACITY = 512;
@@ -25,6 +25,10 @@
     private int start;
     private int end;
     private int position;
+    /** Size of the current value up to the end of the bulk string that has been received in part. */
+    private int requiredBytes;
+    /** Consumes the command that is being skipped, or null. */
+    private CommandSkipper skipper;
 
     private RespReader(boolean commandsOnly) {
         this.commandsOnly = commandsOnly;
@@ -47,7 +51,8 @@
             end -= start;
             start = 0;
             if (end + more.length > buffer.length) {
-                buffer = Arrays.copyOf(buffer, Math.max(2 * buffer.length, end + more.length));
+                int doubled = Math.min(2 * buffer.length, MAX_MESSAGE_LENGTH);
+                buffer = Arrays.copyOf(buffer, Math.max(doubled, end + more.length));
             }
         }
         System.arraycopy(more, 0, buffer, end, more.length);
@@ -61,7 +66,11 @@
      * @throws RespException if the input is not valid, or a limit is exceeded
      */
     public Resp next() throws RespException {
+        if (skipper != null) {
+            return nextWhileSkipping();
+        }
         position = start;
+        requiredBytes = 0;
         Resp value = parseValue(0);
         if (value != null) {
             start = position;
@@ -77,14 +86,46 @@
         return value;
     }
 
-    /** Returns the size of the buffer that holds the input, in bytes. */
-    public int capacity() {
-        return buffer.length;
+    /**
+     * Returns the least size of the value that has been received in part, in bytes, as far as its lengths have been received;
+     * 0 if there is none.
+     */
+    public int requiredBytes() {
+        return skipper != null || start == end ? 0 : Math.max(requiredBytes, end - start + 1);
+    }
+
+    /** Returns how many bytes of the value that has been received in part are held. */
+    public int heldBytes() {
+        return end - start;
+    }
+
+    /** Makes the buffer as large as the value that has been received in part, so that it need not grow, or as small. */
+    public void fitBuffer() {
+        byte[] fitting = new byte[Math.max(INITIAL_CAPACITY, Math.max(requiredBytes(), end - start))];
+        System.arraycopy(buffer, start, fitting, 0, end - start);
+        end -= start;
+        start = 0;
+        buffer = fitting;
+    }
+
+    /** Skips the command that has been received in part: its content is not kept, and {@link #next} reports its end. */
+    public void skipCommand() {
+        skipper = new CommandSkipper(MAX_MESSAGE_LENGTH);
+    }
+
+    private Resp nextWhileSkipping() throws RespException {
+        start += skipper.skip(buffer, start, end);
+        boolean complete = skipper.isComplete();
+        if (complete) {
+            skipper = null;
+        }
+        fitBuffer();
+        return complete ? new Resp.SkippedCommand() : null;
     }
 
     /** Returns whether part of the input belongs to no value returned so far. */
     public boolean hasPartialInput() {
-        return end > start;
+        return skipper != null || end > start;
     }
 
     private Resp parseValue(int depth) throws RespException {
@@ -116,6 +157,7 @@
             return new Resp.BulkString(null);
         }
         if (end - position < length + 2) {
+            requiredBytes = position + length + 2 - start;
             return null;
         }
         if (buffer[position + length] != '\r' || buffer[position + length + 1] != '\n') {
@@ -162,7 +204,7 @@
     }
 
     /** Parses ASCII digits with an optional minus; Long.parseLong alone would also accept a plus and other digits. */
-    private static long parseNumber(String line, long min, long max) throws RespException {
+    static long parseNumber(String line, long min, long max) throws RespException {
         boolean wellFormed = !line.isEmpty() && !line.equals("-");
         for (int i = 0; i < line.length(); i++) {
             char c = line.charAt(i);
--- a/balancer/src/main/java/baymoor/serve/Balancer.java
+++ b/balancer/src/main/java/baymoor/serve/Balancer.java
@@ -34,7 +34,7 @@
         this.log = log;
         Counters counters = new Counters();
         decisionThread = new DecisionThread(counters, log);
-        clientMemory = new ClientMemory(Runtime.getRuntime().maxMemory());
+        clientMemory = new ClientMemory(Runtime.getRuntime().maxMemory(), Assembly.maxAcceptedConnections(settings));
         net = new MinaNet(decisionThread, Assembly.maxAcceptedConnections(settings), clientMemory);
         long clockOffsetMicros = decisionThread.clockMicros() - System.currentTimeMillis() * 1000;
         assembly = new Assembly(
--- a/balancer/src/main/java/baymoor/serve/WarmUp.java
+++ b/balancer/src/main/java/baymoor/serve/WarmUp.java
@@ -69,7 +69,7 @@
                 dispatcher,
                 CLIENTS,
                 CLIENTS,
-                new ClientMemory(HEAP_BYTES),
+                new ClientMemory(HEAP_BYTES, CLIENTS),
                 counters::report);
         int originKind = decisionSettings.origin().kind();
         String origin = originKind >= 0 && originKind < decisionSettings.kinds().size()
--- a/balancer/src/test/java/baymoor/FakeLink.java
+++ b/balancer/src/test/java/baymoor/FakeLink.java
@@ -14,6 +14,7 @@
 
     public boolean reading = true;
     public boolean unread;
+    public int receiveWindow;
     public boolean over;
 
     @Override
@@ -49,6 +50,11 @@
         return over;
     }
 
+    @Override
+    public void setReceiveWindow(int bytes) {
+        receiveWindow = bytes;
+    }
+
     @Override
     public void setReading(boolean on) {
         reading = on;
--- a/balancer/src/test/java/baymoor/assembly/EveryFieldTest.java
+++ b/balancer/src/test/java/baymoor/assembly/EveryFieldTest.java
@@ -126,7 +126,7 @@
                             },
                             (to, content) -> {},
                             millis -> millis * 1000,
-                            new ClientMemory(6 << 20),
+                            new ClientMemory(6 << 20, 64),
                             counters,
                             line -> {}));
             assembly.start(() -> {});
--- a/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
+++ b/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
@@ -71,7 +71,14 @@
                 counters,
                 line -> {});
         north = new North(
-                time, counters, Set.of("read", "keyed", "once"), dispatcher, 9, 9, new ClientMemory(6 << 20), () -> "");
+                time,
+                counters,
+                Set.of("read", "keyed", "once"),
+                dispatcher,
+                9,
+                9,
+                new ClientMemory(6 << 20, 64),
+                () -> "");
         South south = new South(
                 (to, events) -> {
                     FakeLink link = new FakeLink();
--- a/balancer/src/test/java/baymoor/north/NorthTest.java
+++ b/balancer/src/test/java/baymoor/north/NorthTest.java
@@ -42,7 +42,7 @@
             },
             2,
             200,
-            new ClientMemory(6 << 20),
+            new ClientMemory(6 << 20, 64),
             () -> "requests:1\n");
 
     @Before
@@ -112,6 +112,27 @@
         assertEquals("", link.takeWritten());
     }
 
+    /** Guards against a heap filled by values that their clients do not read. */
+    @Test
+    public void valuesPastTheLimitOfUnsentRepliesFailAndRoomReturnsWhenTheyAreSent() {
+        link.flushesImmediately = false;
+        byte[] value = new byte[100_000];
+        int kept = (1 << 20) / value.length;
+        for (int i = 1; i <= kept + 3; i++) {
+            link.receive(getCommand("r" + i));
+            north.answer(i, new Answer.Served(value));
+        }
+        String replies = link.takeWritten();
+        assertEquals(kept, replies.split("\\$100000\r\n", -1).length - 1);
+        for (int i = 0; i < kept + 3; i++) {
+            link.events.written();
+        }
+        link.takeWritten();
+        link.receive(getCommand("later"));
+        north.answer(received.size(), new Answer.Served(value));
+        assertTrue(link.takeWritten().startsWith("$100000\r\n"));
+    }
+
     @Test
     public void unansweredRequestFailsAfterItsDeadlineAndIsAbandoned() {
         link.receive(getCommand("a"));
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualFleet.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualFleet.java
@@ -31,6 +31,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(VirtualFleet.class);
     /** Equals the limit with a heap of 48 MB; fixed so that a run does not depend on the heap of the emulator. */
     private static final long HEAP_BYTES = 48 << 20;
+    private static final int MAX_CLIENT_CONNECTIONS = 512;
 
     private final Engine engine;
     private final Scenario scenario;
@@ -113,7 +114,7 @@
                             faults.wrapDialer(b.process, net.dialer(b.process)),
                             (to, content) -> net.send(b.process, platform.peer(b.number, b.number), to, content),
                             millis -> millis * 1000,
-                            new ClientMemory(HEAP_BYTES),
+                            new ClientMemory(HEAP_BYTES, MAX_CLIENT_CONNECTIONS),
                             new Counters(),
                             line -> LOG.atDebug()
                                     .addKeyValue("instance", b.process.name())
--- a/scale/src/main/java/baymoor/scale/hollow/HollowBalancer.java
+++ b/scale/src/main/java/baymoor/scale/hollow/HollowBalancer.java
@@ -44,6 +44,7 @@
             Consumer<String> log) {}
 
     private static final long HEAP_BYTES = 24 << 20;
+    private static final int MAX_CLIENT_CONNECTIONS = 512;
 
     private final int number;
     private final DecisionLoop loop;
@@ -86,7 +87,7 @@
                             this::dial,
                             this::send,
                             sinceMillis -> sinceMillis * 1000 + clocksApart,
-                            new ClientMemory(HEAP_BYTES),
+                            new ClientMemory(HEAP_BYTES, MAX_CLIENT_CONNECTIONS),
                             counters,
                             line -> {}));
             parts.start(this::serve);
