--- a/balancer/src/main/java/baymoor/serve/Balancer.java
+++ b/balancer/src/main/java/baymoor/serve/Balancer.java
@@ -68,13 +68,9 @@
         }
     }
 
-    /** Logs that an error has ended a thread, with what clients make the program hold. */
-    void threadDied(Thread thread, Throwable error) {
-        Map<String, String> fields = new LinkedHashMap<>();
-        fields.put("thread", thread.getName());
-        fields.put("error", error.toString());
-        fields.putAll(nameValues(clientMemory.report()));
-        log.event("ERROR", "thread-died", fields);
+    /** Returns what clients make the program hold, as names and values. */
+    Map<String, String> memoryInUse() {
+        return nameValues(clientMemory.report());
     }
 
     private static Map<String, String> nameValues(String report) {
--- a/balancer/src/main/java/baymoor/serve/Main.java
+++ b/balancer/src/main/java/baymoor/serve/Main.java
@@ -37,7 +37,8 @@
             Settings settings = Config.read(System.getenv());
             Log log = Log.fromEnvironment(System.getenv(), settings.name());
             Balancer balancer = new Balancer(settings, log);
-            Thread.setDefaultUncaughtExceptionHandler(balancer::threadDied);
+            Thread.setDefaultUncaughtExceptionHandler(
+                    new ThreadDeathHandler(log, balancer::memoryInUse, Runtime.getRuntime()::halt));
             if (warmUpOnly) { // after the balancer was created, so that its classes are archived too
                 WarmUp.runWithSockets(settings, WARM_UP_REQUESTS);
                 new Log(new PrintStream(OutputStream.nullOutputStream()), Clock.systemUTC(), "", false).accept("a: b");
