--- a/balancer/src/main/java/baymoor/counters/Count.java
+++ b/balancer/src/main/java/baymoor/counters/Count.java
@@ -43,5 +43,6 @@
     EVENTS,
     DECISION_FAILURES,
     TASK_FAILURES,
+    SLOW_TASKS,
     ACTIONS_IGNORED
 }
--- a/balancer/src/main/java/baymoor/inventory/ListLines.java
+++ b/balancer/src/main/java/baymoor/inventory/ListLines.java
@@ -23,9 +23,16 @@
         void onHeartbeat();
     }
 
+    /** The bytes of an object; gives out a part of them without a copy of the whole. */
+    private static final class ObjectBuffer extends ByteArrayOutputStream {
+        String text(int from) {
+            return new String(buf, from, count - from, StandardCharsets.UTF_8);
+        }
+    }
+
     private final int maxObjectBytes;
     private final Listener listener;
-    private final ByteArrayOutputStream object = new ByteArrayOutputStream();
+    private final ObjectBuffer object = new ObjectBuffer();
     /** Offset in {@link #object} of its current line. */
     private int lineStart;
 
@@ -76,7 +83,7 @@
         } else if (!inString) {
             depth += b == '{' ? 1 : b == '}' ? -1 : 0;
             if (depth == 0) {
-                String completeObject = object.toString(StandardCharsets.UTF_8);
+                String completeObject = object.text(0);
                 resetObject();
                 listener.onObject(completeObject);
             }
@@ -84,8 +91,7 @@
     }
 
     private void endObjectLine() {
-        String lastLine =
-                object.toString(StandardCharsets.UTF_8).substring(lineStart).trim();
+        String lastLine = object.text(lineStart).trim();
         if (inString || lastLine.isEmpty()) {
             resetObject();
             strayInput = true;
--- a/balancer/src/main/java/baymoor/net/DecisionThread.java
+++ b/balancer/src/main/java/baymoor/net/DecisionThread.java
@@ -22,6 +22,8 @@
     private static final long DUE_IMMEDIATELY = 0;
 
     private static final long MICROS_PER_MILLI = 1_000;
+    /** A task that takes longer than this delays other requests noticeably, and is counted. */
+    private static final long SLOW_TASK_MICROS = 100_000;
 
     /**
      * Tasks posted by other threads, guarded by the deque's monitor. Not a queue of java.util.concurrent: its waiters
@@ -117,8 +119,14 @@
 
     @Override
     public void run() {
+        boolean ranTask = false;
         while (!stopped) {
+            long previousMicros = nowMicros;
             nowMicros = clockMicros();
+            if (ranTask && nowMicros - previousMicros > SLOW_TASK_MICROS) {
+                counters.increment(Count.SLOW_TASKS);
+            }
+            ranTask = true;
             pauseDetector.recordWakeUp(expectedWakeMicros, nowMicros);
             expectedWakeMicros = nowMicros;
             earliestArrivalMicros = nowMicros;
@@ -141,6 +149,7 @@
                 earliestArrivalMicros = pauseDetector.earliestArrival(nextPosted.postedMicros);
                 runTask(nextPosted.task);
             } else {
+                ranTask = false;
                 expectedWakeMicros = nextTimer == null ? Long.MAX_VALUE : nextTimer.dueMicros;
                 awaitWork(nextTimer);
             }
--- a/balancer/src/main/java/baymoor/resp/RespReader.java
+++ b/balancer/src/main/java/baymoor/resp/RespReader.java
@@ -69,6 +69,9 @@
         if (skipper != null) {
             return nextWhileSkipping();
         }
+        if (end - start < requiredBytes) {
+            return null; // what comes before it need not be parsed again
+        }
         position = start;
         requiredBytes = 0;
         Resp value = parseValue(0);
@@ -80,7 +83,7 @@
                 // Releases the memory of a large value.
                 buffer = buffer.length > MAX_BULK_LENGTH / 2 ? new byte[INITIAL_CAPACITY] : buffer;
             }
-        } else if (end - start > MAX_MESSAGE_LENGTH) {
+        } else if (end - start > MAX_MESSAGE_LENGTH || requiredBytes > MAX_MESSAGE_LENGTH) {
             throw new RespException("message too long");
         }
         return value;
@@ -111,6 +114,7 @@
     /** Skips the command that has been received in part: its content is not kept, and {@link #next} reports its end. */
     public void skipCommand() {
         skipper = new CommandSkipper(MAX_MESSAGE_LENGTH);
+        requiredBytes = 0;
     }
 
     private Resp nextWhileSkipping() throws RespException {
