--- a/balancer/src/main/java/baymoor/link/Link.java
+++ b/balancer/src/main/java/baymoor/link/Link.java
@@ -31,6 +31,15 @@
      */
     default void setReceiveWindow(int bytes) {}
 
-    /** Pauses or resumes reading, for backpressure on a peer that sends faster than it is served. */
+    /**
+     * Drops all further input, and reads on so that {@link #isClosed} and {@link LinkEvents#closed} still tell of the peer's close.
+     * An implementation may go on to deliver input instead, which the state machine has to ignore.
+     */
+    default void discardInput() {}
+
+    /**
+     * Pauses or resumes reading, for backpressure on a peer that sends faster than it is served. While reading is paused, the
+     * peer's close goes unnoticed unless a write is pending.
+     */
     void setReading(boolean on);
 }
--- a/balancer/src/main/java/baymoor/net/MinaLink.java
+++ b/balancer/src/main/java/baymoor/net/MinaLink.java
@@ -48,6 +48,9 @@
 
     /** Reads that the decision thread has delivered. */
     private int deliveredReads;
+    /** Whether input is dropped without delivery. */
+    private volatile boolean discarding;
+
     /** Used on the I/O thread only, as is {@link #discardedBytes}. */
     private boolean outputShutDown;
 
@@ -113,6 +116,9 @@
             }
             return;
         }
+        if (discarding) {
+            return;
+        }
         readCount++;
         if (addUndelivered(bytes.length + READ_OVERHEAD_BYTES) > receiveWindowBytes) {
             updateReading(true, null);
@@ -227,6 +233,13 @@
         return disconnected;
     }
 
+    @Override
+    public void discardInput() {
+        discarding = true;
+        session.getConfig().setMaxReadBufferSize(MAX_READ_BUFFER_BYTES);
+        updateReading(null, true);
+    }
+
     @Override
     public void setReceiveWindow(int bytes) {
         receiveWindowBytes = bytes;
--- a/balancer/src/main/java/baymoor/north/RespClient.java
+++ b/balancer/src/main/java/baymoor/north/RespClient.java
@@ -176,7 +176,7 @@
 
     /** Closes the output once all replies have been sent, whatever arrives; for shutdown. */
     void closeUnconditionally() {
-        stopReading();
+        stopInput();
         closing = false;
         closeAfterReplies();
     }
@@ -186,18 +186,18 @@
         link.close();
     }
 
-    /** Ignores further input and stops reading from the socket. */
-    private void stopReading() {
+    /** Ignores further input. It is read all the same: earlier requests may be open, and a close must be noticed. */
+    private void stopInput() {
         if (!inputStopped) {
             inputStopped = true;
             north.markBusy(this);
-            link.setReading(false);
+            link.discardInput();
         }
     }
 
     /** Sends a last reply and closes the connection behind it. */
     private void replyAndClose(byte[] reply) {
-        stopReading();
+        stopInput();
         enqueueReply(reply);
     }
 
--- a/balancer/src/test/java/baymoor/ConcurrentEventsIT.java
+++ b/balancer/src/test/java/baymoor/ConcurrentEventsIT.java
@@ -87,6 +87,37 @@
         assertTrue(router.received.size() <= 128);
     }
 
+    /** Guards against fetches for clients that have gone after input that the balancer can't read. */
+    @Test
+    public void aDisconnectIsNoticedAfterUnreadableInput() throws Exception {
+        CountDownLatch missAllowed = new CountDownLatch(1);
+        environment.router("s-a", 0, parts -> {
+            try {
+                missAllowed.await(20, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return "*3\r\n$-1\r\n$-1\r\n$-1\r\n";
+        });
+        BalancerEnvironment.StubServer origin =
+                environment.origin(parts -> "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        environment.start();
+        try (BalancerEnvironment.Client client = environment.client()) {
+            client.sendRaw(
+                    BalancerEnvironment.Client.encode(orderRead("left")) + "what is this\r\n" + "x".repeat(200_000));
+            environment.awaitCounter("commands_bad:1");
+            environment.awaitCounter("relays:1");
+        }
+        environment.awaitCounter("requests_gone:1");
+        missAllowed.countDown();
+        environment.awaitCounter("relays_miss:1");
+        try (BalancerEnvironment.Client client = environment.client()) {
+            assertEquals("ok", client.request(orderRead("stays")));
+        }
+        assertEquals(1, origin.received.size());
+        assertTrue(origin.received.get(0).parts().contains("x-correlation-id: stays"));
+    }
+
     /** Guards against a request that is read while its connection is being closed, and then never answered. */
     @Test
     public void requestsReadDuringShutdownAreAnswered() throws Exception {
--- a/balancer/src/test/java/baymoor/FakeLink.java
+++ b/balancer/src/test/java/baymoor/FakeLink.java
@@ -15,6 +15,7 @@
     public boolean reading = true;
     public boolean unread;
     public int receiveWindow;
+    public boolean discarding;
     public boolean over;
 
     @Override
@@ -50,6 +51,11 @@
         return over;
     }
 
+    @Override
+    public void discardInput() {
+        discarding = true;
+    }
+
     @Override
     public void setReceiveWindow(int bytes) {
         receiveWindow = bytes;
--- a/balancer/src/test/java/baymoor/net/MinaLinkTest.java
+++ b/balancer/src/test/java/baymoor/net/MinaLinkTest.java
@@ -184,6 +184,17 @@
         assertFalse(link.hasUnreadBytes());
     }
 
+    /** Guards against a close that goes unnoticed since nothing is read any more. */
+    @Test
+    public void aCloseIsNoticedBehindDiscardedInput() throws Exception {
+        onReceived = text -> link.discardInput();
+        send("a");
+        assertEquals("a", nextDelivered());
+        send("more".repeat(500_000));
+        client.close();
+        assertEquals("closed", nextDelivered());
+    }
+
     /** Guards against input that waited up to a second for the selector to notice that reading goes on. */
     @Test
     public void readingGoesOnAtOnceWhenItIsResumed() throws Exception {
--- a/balancer/src/test/java/baymoor/north/NorthTest.java
+++ b/balancer/src/test/java/baymoor/north/NorthTest.java
@@ -112,6 +112,19 @@
         assertEquals("", link.takeWritten());
     }
 
+    /** Guards against a disconnect that goes unnoticed while requests before unreadable input are open. */
+    @Test
+    public void afterUnreadableInputReadingGoesOnAndADisconnectAbandonsOpenRequests() {
+        link.receive(getCommand("a") + "what is this\r\n");
+        assertTrue(link.reading && link.discarding);
+        link.receive(getCommand("b"));
+        assertEquals(1, received.size());
+        link.over = true;
+        assertFalse(north.isAwaited(1));
+        time.advance(0);
+        assertEquals(List.of(1L), abandoned);
+    }
+
     /** Guards against a heap filled by values that their clients do not read. */
     @Test
     public void valuesPastTheLimitOfUnsentRepliesFailAndRoomReturnsWhenTheyAreSent() {
@@ -234,10 +247,14 @@
     }
 
     @Test
-    public void protocolErrorStopsReadingAndStalledClientsAreDisconnected() {
+    public void inputAfterAProtocolErrorIsIgnoredAndStalledClientsAreDisconnected() {
         link.flushesImmediately = false;
         link.receive("nonsense\r\n");
-        assertFalse(link.reading);
+        assertTrue(link.reading && link.discarding);
+        link.takeWritten();
+        link.receive(command("PING") + getCommand("late"));
+        assertEquals("", link.takeWritten());
+        assertTrue(received.isEmpty());
         link.closed = false;
         time.advance(1_300_000);
         assertTrue(link.closed);
