Hand each accepted connection to the listener at its local address

Cause: MinaNet.listen took the listener added second, at a free port, for the only one, and stopListening forgets the handler of an address while connections accepted there are still on their way to the I/O thread.

Change: the only listener is the one added while there is none. A connection whose listener has gone is closed; one that comes before the bind to a free port has returned waits for it.

The serving program, with one listener, takes the same path as before.

--- a/balancer/src/main/java/baymoor/net/MinaNet.java
+++ b/balancer/src/main/java/baymoor/net/MinaNet.java
@@ -112,7 +112,8 @@
             acceptHandlers.put(address, acceptHandler);
         }
         Set<SocketAddress> addressesBefore = acceptor.getLocalAddresses();
-        soleAcceptHandler = acceptHandlers.size() <= 1 ? acceptHandler : null;
+        boolean isSoleListener = addressesBefore.isEmpty();
+        soleAcceptHandler = isSoleListener ? acceptHandler : null;
         acceptor.bind(address);
         Set<SocketAddress> addressesAfter = acceptor.getLocalAddresses();
         addressesAfter.removeAll(addressesBefore);
@@ -199,6 +200,35 @@
         return bytes;
     }
 
+    /** Returns the handler of connections accepted at a local address; ignores them if nothing listens there any more. */
+    private Function<Link, LinkEvents> acceptHandler(SocketAddress localAddress) {
+        Function<Link, LinkEvents> soleHandler = soleAcceptHandler;
+        Function<Link, LinkEvents> known = soleHandler != null ? soleHandler : acceptHandlers.get(localAddress);
+        if (known != null) {
+            return known;
+        }
+        synchronized (this) { // a bind to a free port that is still being made knows its address only at its end
+            return acceptHandlers.getOrDefault(localAddress, MinaNet::closeAtOnce);
+        }
+    }
+
+    private static LinkEvents closeAtOnce(Link link) {
+        link.close();
+        return new LinkEvents() {
+            @Override
+            public void opened() {}
+
+            @Override
+            public void received(byte[] bytes) {}
+
+            @Override
+            public void written() {}
+
+            @Override
+            public void closed() {}
+        };
+    }
+
     /** Forwards the events of a session to its link. */
     private final class Handler extends IoHandlerAdapter {
         private final boolean inbound;
@@ -214,9 +244,7 @@
         @Override
         public void sessionCreated(IoSession session) {
             if (inbound) {
-                Function<Link, LinkEvents> soleHandler = soleAcceptHandler;
-                Function<Link, LinkEvents> acceptHandler =
-                        soleHandler != null ? soleHandler : acceptHandlers.get(session.getLocalAddress());
+                Function<Link, LinkEvents> acceptHandler = acceptHandler(session.getLocalAddress());
                 MinaLink link = new MinaLink(thread, processor, clientMemory);
                 session.setAttribute(LINK_ATTRIBUTE, link);
                 link.onAccepted(session, acceptHandler);
