--- a/balancer/src/main/java/baymoor/assembly/Assembly.java
+++ b/balancer/src/main/java/baymoor/assembly/Assembly.java
@@ -50,8 +50,8 @@
             Consumer<String> log) {}
 
     /**
-     * File descriptors kept free for everything but client and host connections: listeners, selectors, peers, files of the JVM,
-     * discovery calls, and connections beyond the limits while others close.
+     * File descriptors kept free for everything but client and host connections: some 25 for listeners, selectors, peers and
+     * files of the JVM, three for two watches and a list call, and connections beyond the limits while others close.
      */
     private static final int RESERVED_DESCRIPTORS = 64;
     /** How long a draining balancer accepts connections: new ones may arrive for up to 0.4 s after SIGTERM. */
--- a/balancer/src/main/java/baymoor/inventory/CallPacing.java
+++ b/balancer/src/main/java/baymoor/inventory/CallPacing.java
@@ -26,9 +26,12 @@
         TIMED_OUT
     }
 
-    /** Each caller's part of the initial window, which limits the tier to 50 calls per second. */
+    /**
+     * Each caller's part of the initial window, which limits the tier to 50 calls per second. A discovery that reads the list
+     * from memory answers several hundred; a slower one rejects some calls, which widens the window.
+     */
     private static final long BASE_INTERVAL_MICROS = 20_000;
-    /** Limits the backoff to about six calls per second by the whole tier. */
+    /** Limits the backoff to about six calls per second by the whole tier; no discovery is known to be slower. */
     private static final int MAX_DOUBLINGS = 3;
     /** Limits the backoff once discovery is known to be up, to about 12 calls per second by the whole tier. */
     private static final int MAX_DOUBLINGS_AFTER_RECOVERY = 2;
--- a/balancer/src/main/java/baymoor/inventory/ListMessage.java
+++ b/balancer/src/main/java/baymoor/inventory/ListMessage.java
@@ -25,7 +25,10 @@
         return datagram.length > 0 && datagram[0] >= QUERY && datagram[0] <= NO_NEWER_LIST;
     }
 
-    /** Returns the low 32 bits of a host's id. In the rare case that two hosts share a tag, a stop of one of them is missed. */
+    /**
+     * Returns the low 32 bits of a host's id. Two hosts share a tag with a chance of one in 4 billion; then a stop of one of them is
+     * missed.
+     */
     static int tag(long id) {
         return (int) id;
     }
--- a/balancer/src/main/java/baymoor/north/North.java
+++ b/balancer/src/main/java/baymoor/north/North.java
@@ -26,7 +26,10 @@
     private static final long OVERDUE_GRACE_MICROS = 10_000;
 
     private static final long TIMEOUT_CHECK_INTERVAL_MICROS = 250_000;
-    /** From this share of the connection limit on, each new connection evicts the one idle longest. */
+    /**
+     * From this share of the connection limit on, each new connection evicts the one idle longest. Usual clients hold up to a
+     * third of all descriptors, which is two thirds of this limit; half of that is free for all.
+     */
     private static final int IDLE_EVICTION_PERCENT = 30;
 
     private static final long MIN_IDLE_MICROS = 100_000;
@@ -145,7 +148,8 @@
 
     /**
      * Keeps connections within the limit by evicting one: the oldest without any command first, then the one idle
-     * longest. Where none is idle the new connection's first request is rejected, or the connection closed.
+     * longest. Silent connections may come by the hundred and would displace those of working clients.
+     * Where none is idle the new connection's first request is rejected, or the connection closed.
      */
     private void enforceConnectionLimit(RespClient newest) {
         clients.stream()
--- a/balancer/src/main/java/baymoor/north/RespClient.java
+++ b/balancer/src/main/java/baymoor/north/RespClient.java
@@ -17,7 +17,10 @@
  */
 final class RespClient implements LinkEvents {
 
-    /** Longest wait for the first command, and for the rest of a command that has been received in part. */
+    /**
+     * Longest wait for the first command, and for the rest of a command that has been received in part. Hundreds of clients may
+     * connect, or send half a command, and stay.
+     */
     private static final long COMMAND_TIMEOUT_MICROS = 1_500_000;
     /** A new connection without a command is evicted first, but only once it is older than this. */
     private static final long FIRST_COMMAND_GRACE_MICROS = 300_000;
--- a/balancer/src/main/java/merlinstep/Rules.java
+++ b/balancer/src/main/java/merlinstep/Rules.java
@@ -34,11 +34,11 @@
     static final double PEER_CPU_FRACTION = 0.1;
 
     static final double PEER_MESSAGE_CPU_MICROS = 4;
-    /** V of equation 6: work in microseconds that is done in a second. */
+    /** V of equation 6: work in microseconds that is done in a second, by a hundred cores, so that the size weighs a little. */
     static final double WORK_MICROS_PER_SEC = 1e8;
     /** Periods without a message after which a peer counts as silent; tolerates two lost heartbeats. */
     static final int PEER_TIMEOUT_PERIODS = 3;
-    /** Initial X as a fraction of the sum of the quotas. */
+    /** Initial X as a fraction of the sum of the quotas, since only misses are fetched. */
     static final double INITIAL_ALLOWANCE_FRACTION = 0.25;
     /** Largest growth of X in a period, and of the delay between list calls that fail. */
     static final double GROWTH = 1.5;
@@ -52,27 +52,27 @@
     static final double CUT_EFFECT_RATIO = 0.8;
     /** Bound of X relative to the best answered rate, while demand has not tested it. */
     static final double UNTESTED_ALLOWANCE_MULTIPLE = 2;
-    /** One in this many of the peers' estimates is ignored as too low by chance. */
+    /** One in this many of the peers' estimates is ignored as too low by chance; it would bind all balancers. */
     static final int OUTLIER_DIVISOR = 8;
     /** Growth per period of the lowest mean latency, so that it follows an origin that has become slower. */
     static final double MIN_LATENCY_GROWTH = 1.1;
-    /** Decay per tested period of the best answered rate. */
+    /** Decay per tested period of the best answered rate, to half in some 20 s. */
     static final double BEST_RATE_DECAY = 0.97;
-
+    /** Tens of slots for each cache of a large fleet, so that the caches' shares spread within some 15%. */
     static final int SLOTS = 4096;
     /** Caches ranked for each slot; also the most caches that serve one key. */
     static final int SLOT_CACHES = 12;
     /** A key with more than this part of a mean cache's requests is served by several caches. */
     static final double HOT_PART = 0.5;
-
+    /** Spans some hundred requests at a balancer with little traffic. */
     static final long COUNT_HALF_LIFE_MICROS = 4_000_000;
-    /** Counters in each row of the key sketch; a power of two. */
+    /** Counters in each row of the key sketch; a power of two, and far more than there can be hot keys. */
     static final int COUNTERS_PER_ROW = 2048;
     /** Work of answering a miss relative to a hit. */
     static final double MISS_COST = 0.2;
     /** Attempts that may be outstanding at a cache before its answers have adjusted the limit. */
     static final double INITIAL_CONCURRENCY_LIMIT = 16;
-    /** Least time between messages while there are requests. */
+    /** Least time between messages while there are requests: about an answer's time, in which queues change. */
     static final long LOAD_MESSAGE_GAP_MICROS = 200_000;
     /** Fraction of the worth of the requests that peer messages may cost. */
     static final double MESSAGE_COST_FRACTION = 0.01;
@@ -82,7 +82,7 @@
     static final double OVERLOAD_SLACK = 2;
     /** Factor on a cache's concurrency limit after an answer slower than half its aim. */
     static final double LIMIT_CUT_FACTOR = 0.85;
-    /** Consecutive unanswered attempts after which a cache may be suspected. */
+    /** Consecutive unanswered attempts after which a cache may be suspected; fewer may be chance. */
     static final int SUSPECT_UNANSWERED = 3;
     /** Multiple of the mean latency without an answer after which a cache is suspected. */
     static final double SILENCE_LATENCY_MULTIPLE = 3;
@@ -90,9 +90,9 @@
     static final double SUSPECT_ERROR_RATE = 0.5;
     /** Error rate up to which a failed request may return to the same cache, which may hold its value. */
     static final double HEALTHY_ERROR_RATE = 0.25;
-    /** Requests over which the clients' own deadlines are averaged. */
+    /** Requests over which the clients' own deadlines are averaged; few clients are in a hurry. */
     static final int PATIENCE_WINDOW_REQUESTS = 64;
-    /** Answers over which a cache's error rate is averaged. */
+    /** Answers over which a cache's error rate is averaged: about a second's at a small cache. */
     static final int ERROR_RATE_WINDOW_ANSWERS = 8;
     /** Least timeout of an attempt at a suspected server, in mean latencies. */
     static final double SUSPECT_TIMEOUT_MULTIPLE = 1.25;
@@ -104,11 +104,11 @@
     static final long TRIAL_GAP_MICROS = 500_000;
     /** Balancers whose trials a cold cache can take; with more of them each tries less often. */
     static final double TRIAL_PEERS = 8;
-
+    /** Longest delay between trials, and so the longest that a server's return goes unnoticed. */
     static final long MAX_TRIAL_GAP_MICROS = 4_000_000;
     /** First delay after a failed list call. */
     static final long MIN_RETRY_MICROS = 500_000;
-    /** Longest delay after failed list calls. */
+    /** Longest delay after failed list calls; a change counts as known 6 s after discovery had it. */
     static final long MAX_RETRY_MICROS = 2_000_000;
 
     private static final long NEVER = Long.MIN_VALUE;
