Emulator: forward each datagram between balancers by its own pair of addresses

Cause: MINA finds a datagram's session by the remote address and the local port, and the addresses of all pairs share a port.

Change: sessions are not used again, and each is closed behind its datagram.

--- a/emulator/src/main/java/baymoor/emulator/sockets/PeerDatagramForwarder.java
+++ b/emulator/src/main/java/baymoor/emulator/sockets/PeerDatagramForwarder.java
@@ -10,6 +10,7 @@
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
+import org.apache.mina.core.session.IoSessionRecycler;
 import org.apache.mina.transport.socket.nio.NioDatagramAcceptor;
 
 /**
@@ -42,6 +43,10 @@
             }
         }
         forwarder.acceptor.getSessionConfig().setReuseAddress(true);
+        // MINA finds a datagram's session by the remote address and the local port, and all addresses here share a
+        // port: a
+        // session that is used again would be another pair's.
+        forwarder.acceptor.setSessionRecycler(IoSessionRecycler.NOOP);
         forwarder.acceptor.setHandler(new IoHandlerAdapter() {
             @Override
             public void messageReceived(IoSession session, Object message) {
@@ -49,6 +54,7 @@
                 byte[] bytes = new byte[buffer.remaining()];
                 buffer.get(bytes);
                 Route route = forwarder.routes.get(session.getLocalAddress());
+                session.closeNow();
                 if (route != null) {
                     thread.post(() -> fabric.datagram(
                             route.from() % zones, route.to() % zones, () -> forwarder.forward(route, bytes)));
@@ -68,7 +74,9 @@
 
     private void forward(Route route, byte[] bytes) {
         InetSocketAddress to = platform.peer(route.to(), route.to());
-        acceptor.newSession(to, platform.peer(route.from(), route.to())).write(IoBuffer.wrap(bytes));
+        IoSession session = acceptor.newSession(to, platform.peer(route.from(), route.to()));
+        session.write(IoBuffer.wrap(bytes));
+        session.closeOnFlush();
     }
 
     void close() {
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualFleet.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualFleet.java
@@ -31,6 +31,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(VirtualFleet.class);
     /** Equals the limit with a heap of 48 MB; fixed so that a run does not depend on the heap of the emulator. */
     private static final long HEAP_BYTES = 48 << 20;
+
     private static final int MAX_CLIENT_CONNECTIONS = 512;
 
     private final Engine engine;
