Let the receive window of a connection without a memory budget be set

Found by reading the change again: MinaLink asked the budget of a connection for its window, and connections of the stand-ins and of the warm-up have none; a large command to one would have ended in a NullPointerException. The serving program's clients have one.

MinaLinkTest.theReceiveWindowOfAConnectionWithoutABudgetCanBeSet failed before it (the bytes that were to set the window are not recorded in 20 s, as the task fails) and passes now.

--- a/balancer/src/main/java/baymoor/net/MinaLink.java
+++ b/balancer/src/main/java/baymoor/net/MinaLink.java
@@ -36,6 +36,7 @@
     private final DecisionThread thread;
     private final NioProcessor processor;
     private final ClientMemory memory;
+    private final int defaultWindowBytes;
     private LinkEvents events;
     private volatile IoSession session;
     private volatile boolean closeRequested;
@@ -73,7 +74,8 @@
         this.thread = thread;
         this.processor = processor;
         this.memory = memory;
-        receiveWindowBytes = memory == null ? DEFAULT_WINDOW_BYTES : memory.connectionWindowBytes();
+        defaultWindowBytes = memory == null ? DEFAULT_WINDOW_BYTES : memory.connectionWindowBytes();
+        receiveWindowBytes = defaultWindowBytes;
     }
 
     /** Sets the receiver of events, before the first event is posted. */
@@ -84,7 +86,7 @@
     void onAccepted(IoSession acceptedSession, Function<Link, LinkEvents> acceptHandler) {
         session = acceptedSession;
         if (memory != null) {
-            setReceiveWindow(receiveWindowBytes);
+            setReceiveWindow(defaultWindowBytes);
         }
         thread.post(() -> events = acceptHandler.apply(this));
     }
@@ -244,7 +246,7 @@
     public void setReceiveWindow(int bytes) {
         receiveWindowBytes = bytes;
         int maxReadBytes = Math.min(MAX_READ_BUFFER_BYTES, bytes);
-        boolean widened = bytes > memory.connectionWindowBytes();
+        boolean widened = bytes > defaultWindowBytes;
         session.getConfig().setMaxReadBufferSize(maxReadBytes);
         session.getConfig().setReadBufferSize(widened ? maxReadBytes : Math.min(USUAL_READ_BUFFER_BYTES, maxReadBytes));
     }
--- a/balancer/src/test/java/baymoor/net/MinaLinkTest.java
+++ b/balancer/src/test/java/baymoor/net/MinaLinkTest.java
@@ -184,6 +184,17 @@
         assertFalse(link.hasUnreadBytes());
     }
 
+    /** Guards against a window that only connections with a memory budget can have. */
+    @Test
+    public void theReceiveWindowOfAConnectionWithoutABudgetCanBeSet() throws Exception {
+        onReceived = text -> link.setReceiveWindow(1 << 20);
+        send("a");
+        assertEquals("a", nextDelivered());
+        onReceived = text -> {};
+        send("b");
+        assertEquals("b", nextDelivered());
+    }
+
     /** Guards against a close that goes unnoticed since nothing is read any more. */
     @Test
     public void aCloseIsNoticedBehindDiscardedInput() throws Exception {
