--- a/balancer/src/main/java/merlinstep/Rules.java
+++ b/balancer/src/main/java/merlinstep/Rules.java
@@ -34,7 +34,10 @@
     static final double PEER_CPU_FRACTION = 0.1;
 
     static final double PEER_MESSAGE_CPU_MICROS = 4;
-    /** V of equation 6: work in microseconds that is done in a second, by a hundred cores, so that the size weighs a little. */
+    /**
+     * V of equation 6: work in microseconds that is done in a second, by a hundred cores, so that the size
+     * weighs a little.
+     */
     static final double WORK_MICROS_PER_SEC = 1e8;
     /** Periods without a message after which a peer counts as silent; tolerates two lost heartbeats. */
     static final int PEER_TIMEOUT_PERIODS = 3;
@@ -52,7 +55,9 @@
     static final double CUT_EFFECT_RATIO = 0.8;
     /** Bound of X relative to the best answered rate, while demand has not tested it. */
     static final double UNTESTED_ALLOWANCE_MULTIPLE = 2;
-    /** One in this many of the peers' estimates is ignored as too low by chance; it would bind all balancers. */
+    /**
+     * One in this many of the peers' estimates is ignored as too low by chance; it would bind all balancers.
+     */
     static final int OUTLIER_DIVISOR = 8;
     /** Growth per period of the lowest mean latency, so that it follows an origin that has become slower. */
     static final double MIN_LATENCY_GROWTH = 1.1;
@@ -72,7 +77,9 @@
     static final double MISS_COST = 0.2;
     /** Attempts that may be outstanding at a cache before its answers have adjusted the limit. */
     static final double INITIAL_CONCURRENCY_LIMIT = 16;
-    /** Least time between messages while there are requests: about an answer's time, in which queues change. */
+    /**
+     * Least time between messages while there are requests: about an answer's time, in which queues change.
+     */
     static final long LOAD_MESSAGE_GAP_MICROS = 200_000;
     /** Fraction of the worth of the requests that peer messages may cost. */
     static final double MESSAGE_COST_FRACTION = 0.01;
