--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f review/kit-2/target/CaseCrowded.class ] && [ -f balancer/target/baymoor.jar ] || exit 2
-exec java -Xmx512m -cp review/kit-2/target CaseCrowded review/8
+[ -f review/kit-2/target/CasePartWritten.class ] && [ -f balancer/target/baymoor.jar ] || exit 2
+exec java -Xmx512m -cp review/kit-2/target CasePartWritten review/8
--- a/review/kit-2/src/Kit.java
+++ b/review/kit-2/src/Kit.java
@@ -65,6 +65,8 @@
         });
         limit.setDaemon(true);
         limit.start();
+        // A script that is told to end leaves no process behind.
+        Runtime.getRuntime().addShutdownHook(new Thread(Kit::cleanUp));
         try {
             record = new PrintWriter(Files.newBufferedWriter(Path.of(folder, "record.txt")), true);
             log("TROUBLE=" + (TROUBLE ? 1 : 0));
@@ -80,6 +82,14 @@
     }
 
     static synchronized void end(int code) {
+        cleanUp();
+        if (record != null) {
+            record.flush();
+        }
+        Runtime.getRuntime().halt(code);
+    }
+
+    private static void cleanUp() {
         for (Process process : processes) {
             process.destroyForcibly();
         }
@@ -97,10 +107,6 @@
             }
             folder.toFile().delete();
         }
-        if (record != null) {
-            record.flush();
-        }
-        Runtime.getRuntime().halt(code);
     }
 
     static long now() {
@@ -800,6 +806,9 @@
         final long d;
         final byte[] value;
         long sent;
+        /** When the first line of the answer was whole, and its last byte. */
+        long began;
+
         long answered;
         /** The first line of the answer, "EOF" or "RESET" if the connection ended without one, "NONE" if none came. */
         String answer = "NONE";
@@ -876,6 +885,7 @@
             try {
                 socket.setSoTimeout((int) waitMillis);
                 String text = line(in);
+                request.began = now();
                 if (text.startsWith("$") && !text.equals("$-1")) {
                     request.content = exactly(in, Integer.parseInt(text.substring(1)));
                     exactly(in, 2);
