Review: a guard ends a script's balancers when the script is killed

Cause: a SIGKILL to a script left its balancers and their folders (3 balancers in 2 tries); a SIGTERM left none.

--- a/review/kit-2/src/Kit.java
+++ b/review/kit-2/src/Kit.java
@@ -39,6 +39,7 @@
     private static PrintWriter record;
     private static final List<Process> processes = new CopyOnWriteArrayList<>();
     private static final List<Path> folders = new CopyOnWriteArrayList<>();
+    private static final List<Process> guards = new CopyOnWriteArrayList<>();
 
     private Kit() {}
 
@@ -90,6 +91,7 @@
     }
 
     private static void cleanUp() {
+        guards.forEach(Process::destroyForcibly); // before the balancers: their numbers may be given to others
         for (Process process : processes) {
             process.destroyForcibly();
         }
@@ -740,6 +742,7 @@
             builder.redirectErrorStream(true);
             process = builder.start();
             processes.add(process);
+            guard(process.pid(), folder);
             Process started = process;
             spawn("log of a balancer", () -> {
                 try (var reader = started.inputReader()) {
@@ -753,6 +756,13 @@
             log("n" + me + " started");
         }
 
+        /** Ends the balancer when this program goes in any way, also by a SIGKILL: then the guard's input ends. */
+        private static void guard(long pid, Path folder) throws IOException {
+            guards.add(new ProcessBuilder(
+                            "/bin/sh", "-c", "read line; kill -KILL \"$1\" 2>/dev/null; rm -rf \"$2\"", "guard", "" + pid, "" + folder)
+                    .start());
+        }
+
         /** Waits until it answers PING. */
         void awaitReady() throws Exception {
             long limit = now() + 30_000_000;
