Forward answers of the origin that the end of the connection delimits

A paid title search ran and failed for its client; a read was fetched four times and refused.

Cause: an end in order (FIN), a reset and a close by this side were one event, LinkEvents.closed, so OriginCodec could take no 200 without a length for whole.

Change: LinkEvents.inputEnded reports an end in order before closed; a codec is told which end it was. A 200 without a length is whole only after an end in order; after a reset it may have run, as before. The emulator's links raise the event too.

Looked at: answers of routers (RESP delimits itself), probes of the origin (same codec), the list from discovery (JSON delimits itself, a list that is cut fails to parse), 503 and 504 with X-Unprocessed whose head is whole (never ran, whatever the end; as before), a length or a head that is cut short (reset, asserted).

--- a/balancer/src/main/java/baymoor/link/LinkEvents.java
+++ b/balancer/src/main/java/baymoor/link/LinkEvents.java
@@ -15,6 +15,12 @@
     /** The output has been closed, as requested by {@link Link#shutdownOutput}; no more bytes are received. */
     default void outputShutDown() {}
 
+    /**
+     * The peer has closed its output in order, behind all of its bytes; {@link #closed} follows. Not raised where the connection was
+     * reset or closed by this side.
+     */
+    default void inputEnded() {}
+
     /** The connection has been closed, or could not be established. This is the last event. */
     void closed();
 }
--- a/balancer/src/main/java/baymoor/net/MinaLink.java
+++ b/balancer/src/main/java/baymoor/net/MinaLink.java
@@ -156,6 +156,10 @@
         postEvent(() -> events.written());
     }
 
+    void onInputEnded() {
+        postEvent(() -> events.inputEnded());
+    }
+
     void onClosed() {
         disconnected = true;
         postEvent(() -> {
--- a/balancer/src/main/java/baymoor/net/MinaNet.java
+++ b/balancer/src/main/java/baymoor/net/MinaNet.java
@@ -269,6 +269,7 @@
 
         @Override
         public void inputClosed(IoSession session) {
+            link(session).onInputEnded();
             session.closeNow();
         }
 
--- a/balancer/src/main/java/baymoor/south/Codec.java
+++ b/balancer/src/main/java/baymoor/south/Codec.java
@@ -23,7 +23,8 @@
     /**
      * Handles the end of the connection.
      *
+     * @param inOrder whether the host closed it in order behind its last byte; false if it was reset or closed by this side
      * @return the reply if the end completes it, else null
      */
-    Reply end();
+    Reply end(boolean inOrder);
 }
--- a/balancer/src/main/java/baymoor/south/HostConnection.java
+++ b/balancer/src/main/java/baymoor/south/HostConnection.java
@@ -31,6 +31,9 @@
     private boolean open;
     private boolean requestWritten;
     private boolean closing;
+    /** The host has closed its output in order. */
+    private boolean inputEnded;
+
     long idleSinceMicros;
 
     HostConnection(South south, Host host, Codec codec, Attempt firstAttempt) {
@@ -156,6 +159,11 @@
         requestWritten = true;
     }
 
+    @Override
+    public void inputEnded() {
+        inputEnded = true;
+    }
+
     @Override
     public void closed() {
         connectTimer.cancel();
@@ -167,7 +175,7 @@
         host.connectionCount--;
         south.connectionCount--;
         if (attempt != null) {
-            Reply finalReply = abortOutcome == null ? codec.end() : null;
+            Reply finalReply = abortOutcome == null ? codec.end(inputEnded) : null;
             Attempt interrupted = attempt;
             attempt = null;
             // The host can have run the request only if its last byte was written; otherwise it is NOT_CONNECTED.
--- a/balancer/src/main/java/baymoor/south/OriginCodec.java
+++ b/balancer/src/main/java/baymoor/south/OriginCodec.java
@@ -44,28 +44,31 @@
     public Reply feed(byte[] bytes) {
         try {
             int consumed = reader.feed(bytes);
-            return reader.isComplete() ? reply(consumed == bytes.length) : null;
+            return reader.isComplete() ? reply(consumed == bytes.length, reader.hasDelimitedBody()) : null;
         } catch (HttpException e) {
             return Reply.withoutAnswer(Outcome.ERROR);
         }
     }
 
     @Override
-    public Reply end() {
+    public Reply end(boolean inOrder) {
         reader.endOfInput();
-        return reader.isComplete() ? reply(false) : null;
+        return reader.isComplete() ? reply(false, inOrder) : null;
     }
 
-    private Reply reply(boolean fullyConsumed) {
+    /**
+     * Converts the response that has been read.
+     *
+     * @param whole whether the value is known to be whole: its length was given, or the origin ended the connection behind it
+     */
+    private Reply reply(boolean fullyConsumed, boolean whole) {
         ResponseReader response = reader;
         reader = new ResponseReader(MAX_BODY_BYTES);
         boolean unprocessed = "1".equals(response.header("x-unprocessed"))
                 && (response.status() == SERVICE_UNAVAILABLE || response.status() == GATEWAY_TIMEOUT);
         // Without that header the origin may have run the request, as with a 500.
-        // A 200 without a length can't be distinguished from a truncated one.
-        Outcome outcome = response.status() == OK && response.hasDelimitedBody()
-                ? Outcome.SERVED
-                : unprocessed ? Outcome.FULL : Outcome.ERROR;
+        Outcome outcome =
+                response.status() == OK && whole ? Outcome.SERVED : unprocessed ? Outcome.FULL : Outcome.ERROR;
         byte[] value = response.takeBody();
         return new Reply(
                 outcome,
--- a/balancer/src/main/java/baymoor/south/RouterCodec.java
+++ b/balancer/src/main/java/baymoor/south/RouterCodec.java
@@ -108,7 +108,7 @@
     }
 
     @Override
-    public Reply end() {
+    public Reply end(boolean inOrder) {
         return null;
     }
 }
--- a/balancer/src/test/java/baymoor/BalancerEnvironment.java
+++ b/balancer/src/test/java/baymoor/BalancerEnvironment.java
@@ -52,11 +52,19 @@
     /** A request that a router or the origin received, and when. */
     record ReceivedMessage(List<String> parts, long receivedNanos) {}
 
+    /** What a stub server does with a connection once it has answered a request on it. */
+    enum AfterAnswer {
+        KEEP_OPEN,
+        END_IN_ORDER,
+        RESET
+    }
+
     /** A router or origin; {@code answer} returns its response, null for none, {@code "close"} to close the connection. */
     final class StubServer {
         final List<ReceivedMessage> received = new CopyOnWriteArrayList<>();
         final int port;
         volatile Function<List<String>, String> answer;
+        volatile AfterAnswer afterAnswer = AfterAnswer.KEEP_OPEN;
 
         StubServer(boolean http, Function<List<String>, String> answer) throws IOException {
             this.answer = answer;
@@ -72,6 +80,10 @@
                     if (text != null) {
                         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
                     }
+                    if (afterAnswer != AfterAnswer.KEEP_OPEN) {
+                        socket.setSoLinger(afterAnswer == AfterAnswer.RESET, 0);
+                        return;
+                    }
                 }
             });
         }
--- a/balancer/src/test/java/baymoor/south/SouthTest.java
+++ b/balancer/src/test/java/baymoor/south/SouthTest.java
@@ -320,6 +320,26 @@
         assertEquals("r ERROR", takeEnds());
     }
 
+    /** Guards against dropping answers that only the end of their connection delimits, and against forwarding half of one. */
+    @Test
+    public void anEndInOrderMakesAnAnswerWithoutALengthWholeAndNoOther() {
+        FakeLink whole = sendAndWrite("r", ORIGIN);
+        whole.receive("HTTP/1.1 200 OK\r\n\r\nv");
+        whole.events.inputEnded();
+        whole.events.closed();
+        assertEquals("r SERVED v", takeEnds());
+        FakeLink halfOfItsLength = sendAndWrite("r", ORIGIN);
+        halfOfItsLength.receive("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nv");
+        halfOfItsLength.events.inputEnded();
+        halfOfItsLength.events.closed();
+        assertEquals("r RESET", takeEnds());
+        FakeLink halfOfItsHead = sendAndWrite("r", ORIGIN);
+        halfOfItsHead.receive("HTTP/1.1 200 OK\r\nX-Backend");
+        halfOfItsHead.events.inputEnded();
+        halfOfItsHead.events.closed();
+        assertEquals("r RESET", takeEnds());
+    }
+
     @Test
     public void duplicateAnswerWithinTheQuietPeriodAnswersNoAttempt() {
         FakeLink link = sendAndWrite("a", ROUTER);
--- a/emulator/src/main/java/baymoor/emulator/virtual/VirtualLink.java
+++ b/emulator/src/main/java/baymoor/emulator/virtual/VirtualLink.java
@@ -269,6 +269,9 @@
             if (!closeDelivered) {
                 closeDelivered = true;
                 if (events != null) {
+                    if (cause == Ending.BY_OTHER_SIDE) {
+                        events.inputEnded();
+                    }
                     events.closed();
                 }
             }
