Evict half commands while the limit of connections is exceeded

Cause: nothing was evicted but when another connection was accepted, and nothing was accepted once all places were taken; half a command counted neither as silent nor as idle, and input revoked the closing of an excess connection.

Change: while connections are over the limit, every 20 ms those are evicted that owe the rest of a command for 50 ms or a first one for 300 ms, or are idle; an excess connection with a whole command takes such a one's place. Evicted connections that their clients leave open are closed then too. New counter clients_waited.

Looked at: silent connections (evicted by the same check), excess connections whose closing input revokes, evicted ones that their clients never close, connections with open requests (not evicted, asserted), hosts' connections (no queue), the listener of peers (UDP). Not covered: later input of a connection counts from its read, as before.

--- a/balancer/src/main/java/baymoor/counters/Count.java
+++ b/balancer/src/main/java/baymoor/counters/Count.java
@@ -3,6 +3,7 @@
 /** The counters of a balancer. Their names in lower case are the names of the metrics. */
 public enum Count {
     CLIENTS_ACCEPTED,
+    CLIENTS_WAITED,
     CLIENTS_CLOSED,
     CLIENTS_EVICTED,
     CLIENTS_SILENT,
--- a/balancer/src/main/java/baymoor/link/Link.java
+++ b/balancer/src/main/java/baymoor/link/Link.java
@@ -19,6 +19,14 @@
      */
     void shutdownOutput(boolean evenIfUnread);
 
+    /**
+     * Returns the microseconds for which an accepted connection may have waited in the listener's queue, at most. Its first input may
+     * be that much older than its delivery tells.
+     */
+    default long acceptWaitMicros() {
+        return 0;
+    }
+
     /** Returns whether input has arrived that {@link LinkEvents#received} has not delivered yet. */
     boolean hasUnreadBytes();
 
--- a/balancer/src/main/java/baymoor/net/MinaLink.java
+++ b/balancer/src/main/java/baymoor/net/MinaLink.java
@@ -34,6 +34,7 @@
     private final DecisionThread thread;
     private final ClientMemory memory;
     private final int defaultWindowBytes;
+    private volatile long acceptWaitMicros;
     private LinkEvents events;
     private volatile IoSession session;
     private volatile boolean closeRequested;
@@ -78,8 +79,14 @@
         events = listener;
     }
 
-    void onAccepted(IoSession acceptedSession, Function<Link, LinkEvents> acceptHandler) {
+    /**
+     * Hands an accepted connection to its handler.
+     *
+     * @param queuedMicros how long it may have waited in the listener's queue, at most
+     */
+    void onAccepted(IoSession acceptedSession, long queuedMicros, Function<Link, LinkEvents> acceptHandler) {
         session = acceptedSession;
+        acceptWaitMicros = queuedMicros;
         if (memory != null) {
             setReceiveWindow(defaultWindowBytes);
         }
@@ -222,6 +229,11 @@
         currentSession.getFilterChain().fireFilterWrite(new DefaultWriteRequest(HalfClose.marker(), markerWritten));
     }
 
+    @Override
+    public long acceptWaitMicros() {
+        return acceptWaitMicros;
+    }
+
     @Override
     public boolean hasUnreadBytes() {
         return undeliveredBytes.get() > 0;
--- a/balancer/src/main/java/baymoor/net/MinaNet.java
+++ b/balancer/src/main/java/baymoor/net/MinaNet.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
-import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -19,13 +18,10 @@
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
-import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.session.IdleStatus;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioDatagramAcceptor;
-import org.apache.mina.transport.socket.nio.NioSession;
-import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 
 /**
@@ -35,7 +31,6 @@
 public final class MinaNet implements Dialer, PeerLink {
 
     private static final String LINK_ATTRIBUTE = "link";
-    private static final int BACKLOG = 512;
     private static final int READ_BUFFER_BYTES = 2048;
     private static final int MAX_READ_BUFFER_BYTES = 64 * 1024;
 
@@ -45,17 +40,7 @@
     private final NioSocketConnector connector = new NioSocketConnector(processor);
     private final ConnectionLimiter connectionLimiter;
     private final ClientMemory clientMemory;
-    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(processor) {
-        @Override
-        protected NioSession accept(IoProcessor<NioSession> ioProcessor, ServerSocketChannel handle) throws Exception {
-            connectionLimiter.awaitCapacity();
-            NioSession session = super.accept(ioProcessor, handle);
-            if (session != null) {
-                connectionLimiter.connectionOpened();
-            }
-            return session;
-        }
-    };
+    private final LimitedAcceptor acceptor;
     private final Map<SocketAddress, Function<Link, LinkEvents>> acceptHandlers = new ConcurrentHashMap<>();
     /** Takes the connections at every local address while there is a single listener, else null. */
     private volatile Function<Link, LinkEvents> soleAcceptHandler;
@@ -79,6 +64,7 @@
         this.thread = thread;
         this.clientMemory = clientMemory;
         connectionLimiter = new ConnectionLimiter(maxConnections);
+        acceptor = new LimitedAcceptor(processor, connectionLimiter);
         connector.setHandler(new Handler(false));
         configure(connector.getSessionConfig());
         configure(acceptor.getSessionConfig());
@@ -105,7 +91,6 @@
         if (acceptHandlers.isEmpty()) {
             acceptor.setHandler(new Handler(true));
             acceptor.setReuseAddress(true);
-            acceptor.setBacklog(BACKLOG);
         }
         if (address.getPort() != 0) { // before the bind, so that the first connection finds it
             acceptHandlers.put(address, acceptHandler);
@@ -246,7 +231,7 @@
                 Function<Link, LinkEvents> acceptHandler = acceptHandler(session.getLocalAddress());
                 MinaLink link = new MinaLink(thread, clientMemory);
                 session.setAttribute(LINK_ATTRIBUTE, link);
-                link.onAccepted(session, acceptHandler);
+                link.onAccepted(session, acceptor.takeQueuedMicros(session), acceptHandler);
             }
         }
 
--- a/balancer/src/main/java/baymoor/north/North.java
+++ b/balancer/src/main/java/baymoor/north/North.java
@@ -37,6 +37,10 @@
     private static final int MAX_EXCESS_CONNECTIONS = 8;
     /** Evicted connections that may wait for their clients to close them. */
     private static final int MAX_EVICTED_CONNECTIONS = 8;
+    /** A connection that may have waited for longer than this to be accepted is counted. */
+    private static final long LONG_ACCEPT_WAIT_MICROS = 100_000;
+    /** While there are connections over the limit, how often others are evicted for them. */
+    private static final long LIMIT_CHECK_INTERVAL_MICROS = 20_000;
     /** Most connections over the limit: excess and evicted ones, and as many excess ones again that are closing. */
     public static final int MAX_CONNECTIONS_OVER_LIMIT = 2 * MAX_EXCESS_CONNECTIONS + MAX_EVICTED_CONNECTIONS;
 
@@ -55,6 +59,7 @@
     /** Connections without pending replies, in the order in which their last reply was sent. */
     private final Set<RespClient> idleClients = new LinkedHashSet<>();
 
+    private boolean limitCheckScheduled;
     private long lastTicket;
     private boolean draining;
 
@@ -102,6 +107,9 @@
     /** Accepts a client's connection and returns the listener for its events. */
     public LinkEvents accept(Link link) {
         counters.increment(Count.CLIENTS_ACCEPTED);
+        if (link.acceptWaitMicros() > LONG_ACCEPT_WAIT_MICROS) {
+            counters.increment(Count.CLIENTS_WAITED);
+        }
         RespClient client = new RespClient(this, link);
         clients.add(client);
         if (clients.size() > maxClients) {
@@ -141,20 +149,24 @@
         clients.remove(client);
         evicted.add(client);
         client.closeAfterReplies();
-        if (evicted.size() > MAX_EVICTED_CONNECTIONS) {
-            evicted.stream().filter(RespClient::isOutputClosed).findFirst().ifPresent(RespClient::closeNow);
+        closeExcessEvicted();
+    }
+
+    /** Closes evicted connections that their clients leave open, past {@link #MAX_EVICTED_CONNECTIONS}. */
+    private void closeExcessEvicted() {
+        int excess = evicted.size() - MAX_EVICTED_CONNECTIONS;
+        if (excess > 0) {
+            evicted.stream().filter(RespClient::isOutputClosed).limit(excess).forEach(RespClient::closeNow);
         }
     }
 
     /**
-     * Keeps connections within the limit by evicting one: the oldest without any command first, then the one idle
-     * longest. Silent connections may come by the hundred and would displace those of working clients.
-     * Where none is idle the new connection's first request is rejected, or the connection closed.
+     * Keeps connections within the limit by evicting one: the oldest that owes a command first, then the one idle longest. Silent
+     * connections may come by the hundred and would displace those of working clients. Where none is idle the new connection's
+     * first request is rejected, or the connection closed.
      */
     private void enforceConnectionLimit(RespClient newest) {
-        clients.stream()
-                .filter(RespClient::isSilent)
-                .findFirst()
+        oldestOwingCommand()
                 .or(() -> clients.stream()
                         .filter(c -> c.hasSentCommand() && c.isIdle())
                         .findFirst())
@@ -168,6 +180,46 @@
                         newest.rejectFirstRequest();
                     }
                 });
+        scheduleLimitCheck();
+    }
+
+    private Optional<RespClient> oldestOwingCommand() {
+        return clients.stream().filter(RespClient::owesCommand).findFirst();
+    }
+
+    /**
+     * Evicts connections over the limit as soon as they owe a command or are idle. A new connection evicts one only when it is
+     * accepted, and none is accepted any more once the excess places are taken too.
+     */
+    private void checkConnectionLimit() {
+        limitCheckScheduled = false;
+        Optional<RespClient> evictable = evictableClient();
+        while (clients.size() > maxClients && evictable.isPresent()) {
+            evict(evictable.get());
+            evictable = evictableClient();
+        }
+        closeExcessEvicted();
+        scheduleLimitCheck();
+    }
+
+    private Optional<RespClient> evictableClient() {
+        return oldestOwingCommand().or(this::longestIdle);
+    }
+
+    private void scheduleLimitCheck() {
+        boolean exceeded = clients.size() > maxClients || evicted.size() > MAX_EVICTED_CONNECTIONS;
+        if (exceeded && !limitCheckScheduled) {
+            limitCheckScheduled = true;
+            time.schedule(LIMIT_CHECK_INTERVAL_MICROS, this::checkConnectionLimit);
+        }
+    }
+
+    /** Returns whether connections are within the limit, if need be after evicting one that owes a command. */
+    boolean makeRoom() {
+        if (clients.size() > maxClients) {
+            oldestOwingCommand().ifPresent(this::evict);
+        }
+        return clients.size() <= maxClients;
     }
 
     /** Returns whether a request with this id is open, or an attempt of it is still in flight. */
@@ -193,6 +245,7 @@
     void markUsed(RespClient client) {
         if (clients.remove(client) || evicted.remove(client)) {
             clients.add(client);
+            scheduleLimitCheck();
         }
     }
 
--- a/balancer/src/main/java/baymoor/north/RespClient.java
+++ b/balancer/src/main/java/baymoor/north/RespClient.java
@@ -24,6 +24,8 @@
     private static final long COMMAND_TIMEOUT_MICROS = 1_500_000;
     /** A new connection without a command is evicted first, but only once it is older than this. */
     private static final long FIRST_COMMAND_GRACE_MICROS = 300_000;
+    /** A connection with part of a command is evicted first, but only once the rest is missing for longer than this. */
+    private static final long PARTIAL_COMMAND_GRACE_MICROS = 50_000;
 
     private static final long CROWDED_IDLE_TIMEOUT_MICROS = 2_000_000;
     private static final long IDLE_TIMEOUT_MICROS = 15_000_000;
@@ -40,7 +42,6 @@
 
     private static final int GET_ARITY = 4;
     private static final int SET_ARITY = 5;
-    private static final int MAX_ECHOED_NAME = 32;
 
     private final North north;
     private final Link link;
@@ -64,7 +65,7 @@
     /** Since when the rest of a command has been missing. */
     private long commandStartMicros;
     /** Earliest time at which the last input may have arrived; deadlines count from it. */
-    private long receivedMicros;
+    private long earliestArrivalMicros;
 
     RespClient(North north, Link link) {
         this.north = north;
@@ -114,6 +115,23 @@
                 && north.time.now() - progressMicros > FIRST_COMMAND_GRACE_MICROS;
     }
 
+    /** Returns whether the first command, or the rest of any, is missing and nothing that has arrived is unprocessed. */
+    private boolean awaitsCommand() {
+        return !inputStopped
+                && !closing
+                && !readingPaused
+                && !link.hasUnreadBytes()
+                && (!commandReceived || input.hasPartialCommand());
+    }
+
+    /** Returns whether the first command or the rest of a command is overdue, and the client waits for no reply. */
+    boolean owesCommand() {
+        boolean restOverdue = awaitsCommand()
+                && input.hasPartialCommand()
+                && north.time.now() - commandStartMicros > PARTIAL_COMMAND_GRACE_MICROS;
+        return replies.isEmpty() && (restOverdue || isSilent());
+    }
+
     /** Returns whether the first command may still be in transit. */
     boolean awaitsFirstCommand() {
         return !commandReceived && !inputStopped && !closing && !isSilent();
@@ -122,17 +140,12 @@
     /** Closes the connection if one of its timeouts has expired. {@code crowded} shortens the idle timeout. */
     void checkTimeouts(boolean crowded) {
         long now = north.time.now();
-        boolean awaitingCommand = !inputStopped
-                && !closing
-                && !readingPaused
-                && !link.hasUnreadBytes()
-                && (!commandReceived || input.hasPartialCommand());
         if (inputStopped || closing
                 ? replies.isEmpty() && now - progressMicros > CLOSE_TIMEOUT_MICROS
                 : replies.unsentWrites() > 0 && now - progressMicros > writeTimeoutMicros()) {
             north.counters.increment(Count.CLIENTS_STUCK);
             link.close();
-        } else if (awaitingCommand && now - commandStartMicros > COMMAND_TIMEOUT_MICROS) {
+        } else if (awaitsCommand() && now - commandStartMicros > COMMAND_TIMEOUT_MICROS) {
             north.counters.increment(Count.CLIENTS_SILENT);
             replyAndClose(RespWriter.error("ERR no whole command in time"));
         } else if (north.isDraining() && isIdle() && isSilent()) {
@@ -225,7 +238,7 @@
         north.markBusy(this);
         north.markUsed(this);
         commandStartMicros = input.hasPartialCommand() ? commandStartMicros : north.time.now();
-        receivedMicros = north.time.earliestArrivalMicros();
+        earliestArrivalMicros = north.time.earliestArrivalMicros() - (commandReceived ? 0 : link.acceptWaitMicros());
         input.feed(bytes);
         processCommands();
     }
@@ -273,14 +286,9 @@
         switch (name) {
             case "OBJ.GET" -> handleRequest(arguments, GET_ARITY);
             case "OBJ.SET" -> handleRequest(arguments, SET_ARITY);
-            case "PING" -> reply(arguments.size() > 1 ? RespWriter.bulk(arguments.get(1)) : RespWriter.simple("PONG"));
-            case "INFO" -> reply(RespWriter.bulk(RespWriter.utf8(north.counterReport.get())));
-            case "CLIENT", "SELECT" -> reply(RespWriter.simple("OK"));
-            default -> {
-                boolean echoed =
-                        name.length() <= MAX_ECHOED_NAME && name.chars().allMatch(c -> c > ' ' && c < 127);
-                rejectCommand("unknown command" + (echoed ? " '" + name + "'" : ""));
-            }
+            default ->
+                AuxiliaryCommands.reply(name, arguments, north.counterReport)
+                        .ifPresentOrElse(this::reply, () -> rejectCommand(AuxiliaryCommands.unknown(name)));
         }
     }
 
@@ -303,7 +311,12 @@
         try {
             byte[] value = arity == SET_ARITY ? arguments.get(4) : null;
             request = RequestParser.parse(
-                    arguments.get(1), arguments.get(2), arguments.get(3), value, north.requestClasses, receivedMicros);
+                    arguments.get(1),
+                    arguments.get(2),
+                    arguments.get(3),
+                    value,
+                    north.requestClasses,
+                    earliestArrivalMicros);
         } catch (RequestParser.InvalidRequestException e) {
             rejectCommand(e.getMessage());
             return;
@@ -312,6 +325,7 @@
             rejectCommand("id is in use"); // one of the two requests would get the other's reply
             return;
         }
+        overLimit = overLimit && !north.makeRoom();
         if (overLimit || north.overCapacity(request)) {
             rejectBusy();
             return;
--- a/balancer/src/test/java/baymoor/FakeLink.java
+++ b/balancer/src/test/java/baymoor/FakeLink.java
@@ -17,6 +17,7 @@
     public int receiveWindow;
     public boolean discarding;
     public boolean over;
+    public long acceptWaitMicros;
 
     @Override
     public void write(byte[] bytes) {
@@ -46,6 +47,11 @@
         return unread;
     }
 
+    @Override
+    public long acceptWaitMicros() {
+        return acceptWaitMicros;
+    }
+
     @Override
     public boolean isClosed() {
         return over;
--- a/balancer/src/test/java/baymoor/net/ConnectionLimiterTest.java
+++ b/balancer/src/test/java/baymoor/net/ConnectionLimiterTest.java
@@ -29,19 +29,7 @@
         BlockingQueue<Link> links = new LinkedBlockingQueue<>();
         InetSocketAddress address = net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), link -> {
             links.add(link);
-            return new LinkEvents() {
-                @Override
-                public void opened() {}
-
-                @Override
-                public void received(byte[] bytes) {}
-
-                @Override
-                public void written() {}
-
-                @Override
-                public void closed() {}
-            };
+            return new IgnoringEvents();
         });
         long startNanos = System.nanoTime();
         List<Socket> clients = new ArrayList<>();
@@ -65,6 +53,32 @@
         net.close();
     }
 
+    /** Guards against requests that are taken for new though they have waited in the listener's queue. */
+    @Test
+    public void aConnectionTellsHowLongItMayHaveWaitedForCapacity() throws Exception {
+        DecisionThread thread = new DecisionThread(new Counters(), line -> {});
+        MinaNet net = new MinaNet(thread, 1, null);
+        new Thread(thread, "decisions").start();
+        BlockingQueue<Link> links = new LinkedBlockingQueue<>();
+        InetSocketAddress address = net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), link -> {
+            links.add(link);
+            return new IgnoringEvents();
+        });
+        try (Socket first = new Socket(address.getAddress(), address.getPort());
+                Socket second = new Socket(address.getAddress(), address.getPort())) {
+            long connectedNanos = System.nanoTime();
+            Link accepted = links.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            Thread.sleep(200);
+            long waitedMicros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - connectedNanos);
+            thread.post(accepted::close);
+            Link waited = links.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            assertTrue(waited.acceptWaitMicros() + " of " + waitedMicros, waited.acceptWaitMicros() >= waitedMicros);
+            assertTrue(first.isConnected() && second.isConnected());
+        }
+        thread.stop();
+        net.close();
+    }
+
     @Test
     public void waitingForCapacityTimesOutWhenACloseIsNeverCounted() throws Exception {
         ConnectionLimiter limiter = new ConnectionLimiter(1);
@@ -78,4 +92,18 @@
         limiter.disable();
         limiter.awaitCapacity();
     }
+
+    private static final class IgnoringEvents implements LinkEvents {
+        @Override
+        public void opened() {}
+
+        @Override
+        public void received(byte[] bytes) {}
+
+        @Override
+        public void written() {}
+
+        @Override
+        public void closed() {}
+    }
 }
--- a/balancer/src/test/java/baymoor/north/NorthTest.java
+++ b/balancer/src/test/java/baymoor/north/NorthTest.java
@@ -361,6 +361,35 @@
         assertEquals(2, received.size());
     }
 
+    /** Guards against half commands that take all places, so that requests wait unread in the listener's queue. */
+    @Test
+    public void halfCommandsOverTheLimitAreEvictedThoughNobodyElseIsAccepted() {
+        String halfCommand = "*4\r\n$7\r\nOBJ";
+        link.receive(halfCommand);
+        FakeLink second = connectClient();
+        second.receive(halfCommand);
+        FakeLink third = connectClient();
+        third.receive(halfCommand);
+        time.advance(40_000);
+        assertFalse(link.closed);
+        time.advance(40_000);
+        assertTrue(link.closed);
+        assertFalse("within the limit", second.closed || third.closed);
+        third.receive(".GET\r\n$2\r\n0a\r\n$1\r\nc\r\n$14\r\nc=read,t=x,d=9\r\n");
+        assertEquals("it is no longer over the limit", "", third.takeWritten());
+        assertEquals(1, received.size());
+    }
+
+    /** Guards against an eviction of connections that owe nothing but the rest of a command behind open requests. */
+    @Test
+    public void halfACommandBehindAnOpenRequestIsNotEvicted() {
+        link.receive(getCommand("a") + "*4\r\n$7\r\nOBJ");
+        connectClient().receive(getCommand("b"));
+        connectClient();
+        time.advance(200_000);
+        assertFalse(link.closed);
+    }
+
     @Test
     public void drainKeepsConnectionsWithUnreadInput() {
         link.unread = true;
@@ -387,6 +416,16 @@
         assertTrue(received.get(2).deadlineMicros() > time.now() + 490_000);
     }
 
+    /** Guards against telling a router time that a client has spent in the listener's queue. */
+    @Test
+    public void deadlineOfAFirstRequestCountsFromTheEarliestConnect() {
+        link.acceptWaitMicros = 400_000;
+        link.receive(getCommand("a"));
+        assertTrue(received.get(0).deadlineMicros() <= time.now() + 100_000);
+        link.receive(getCommand("b"));
+        assertTrue(received.get(1).deadlineMicros() > time.now() + 490_000);
+    }
+
     @Test
     public void requestFieldsAreParsedAndTheDeadlineAllowsForNetworkDelay() {
         link.receive(command("OBJ.SET", "0a", "i", "c=read,t=x,d=500,k=77,h=1200,size=9.5,r=1", "value"));
