Stop the use of an old list 4 s after discovery has moved

Cause: a list could be used for 6 s after its last confirmation whatever the reload, and a rejected call extended that by 6 s where no balancer asked had a newer list.

Change: an order to use another address sets a time 4 s later, from which on only a live watch, a confirmation of that time or later, or a failed connection to the new address allows attempts. Counters inventory_extended and inventory_stale tell the two causes apart from now on.

--- a/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
+++ b/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
@@ -124,6 +124,7 @@
         requests.put(requestId, new OpenRequest(ticket, request));
         openClientRequestIds.add(request.id());
         if (!listFresh.getAsBoolean()) {
+            counters.increment(Count.INVENTORY_STALE);
             answerRequest(requestId, new Answer.BackOff(0));
             return;
         }
@@ -294,6 +295,7 @@
         int attempt = open.attemptCount++;
         open.attemptsInFlight++;
         if (open.attemptsInFlight == 1 && !open.done && !listFresh.getAsBoolean()) {
+            counters.increment(Count.INVENTORY_STALE);
             // Answered at once, since no further attempt could be sent either.
             answerRequest(
                     action.request(),
--- a/balancer/src/main/java/baymoor/inventory/Discovery.java
+++ b/balancer/src/main/java/baymoor/inventory/Discovery.java
@@ -176,6 +176,7 @@
             return;
         }
         address = newAddress;
+        confirmation.addressChanged(time.now());
         cancelWatchCalls();
         if (listCall != null && !listCall.closed) {
             listCall.cancel();
@@ -281,7 +282,9 @@
             if (call.startedMicros >= recoveredMicros) {
                 pacing.recordOutcome(call.outcome()); // an earlier call tells nothing about the load after the recovery
             }
-            confirmation.callFailed(call.outcome(), call.startedMicros, time.now());
+            if (confirmation.callFailed(call.outcome(), call.startedMicros, time.now())) {
+                counters.increment(Count.INVENTORY_EXTENDED);
+            }
         }
         if (call == listCall && watchesContinuously()) {
             listRetryTimer = time.schedule(nextReconnectDelay(call.startedMicros), this::fetchList);
--- a/balancer/src/main/java/baymoor/inventory/ListConfirmation.java
+++ b/balancer/src/main/java/baymoor/inventory/ListConfirmation.java
@@ -1,9 +1,14 @@
 package baymoor.inventory;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 /**
  * Tracks how long the server list held may be used. A change is due a fixed time after discovery had it and was reachable,
  * whether or not it has arrived. Attempts may therefore start until that long after the last time at which the list was known
- * to be complete, or discovery known to be unreachable.
+ * to be complete, or discovery known to be unreachable. After an order to use another address of discovery all changes are due
+ * sooner, as of one time: from then on only a confirmation of that time or later counts, or a connection to the new address that
+ * failed.
  *
  * <p>Keeps timestamps only and sets no timer; {@link #isFresh} is evaluated for each attempt. Used on the decision thread.
  */
@@ -15,6 +20,9 @@
      */
     static final long MAX_LIST_AGE_MICROS = 6_000_000;
 
+    /** Time after the order to use another address of discovery at which all that it has to tell counts as delivered. */
+    static final long ADDRESS_CHANGE_LIMIT_MICROS = 4_000_000;
+
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     /** How long a peer's statement that it has no newer list holds: two of the longest query intervals. */
@@ -31,6 +39,12 @@
     private long lastCompleteMicros = NEVER;
     private long lastUnreachableMicros = NEVER;
     private long noNewerListMicros = NEVER;
+    private long lastConnectFailureMicros = NEVER;
+    private long lastAddressChangeMicros = NEVER;
+    /** Times at which all changes are due after an order to use another address, the oldest first. */
+    private final Deque<Long> addressChangesDue = new ArrayDeque<>();
+    /** The last of those times that has passed. */
+    private long changesDueMicros = NEVER;
 
     private ListConfirmation(boolean required, boolean hasPeers, long startedMicros) {
         this.required = required;
@@ -78,6 +92,12 @@
         lastUnreachableMicros = Math.max(lastUnreachableMicros, atMicros);
     }
 
+    /** Records the order to use another address of discovery. */
+    void addressChanged(long nowMicros) {
+        lastAddressChangeMicros = nowMicros;
+        addressChangesDue.addLast(nowMicros + ADDRESS_CHANGE_LIMIT_MICROS);
+    }
+
     /** Returns when discovery was last unreachable, or a time long ago if it never was. */
     long lastUnreachableMicros() {
         return lastUnreachableMicros;
@@ -89,13 +109,19 @@
      * a newer list, or there are no peers. A timeout has no effect, as only the network path may be broken.
      *
      * @param startedMicros when the call was started
+     * @return whether the failure extends the use of the list
      */
-    void callFailed(CallPacing.Outcome outcome, long startedMicros, long nowMicros) {
+    boolean callFailed(CallPacing.Outcome outcome, long startedMicros, long nowMicros) {
+        boolean connectFailed = outcome == CallPacing.Outcome.CONNECTION_FAILED;
         boolean noPeerHasNewer = !hasPeers || nowMicros - noNewerListMicros < NO_NEWER_LIST_TTL_MICROS;
-        if (outcome == CallPacing.Outcome.CONNECTION_FAILED
-                || outcome == CallPacing.Outcome.REJECTED && noPeerHasNewer) {
+        boolean unreachable = connectFailed || outcome == CallPacing.Outcome.REJECTED && noPeerHasNewer;
+        if (connectFailed) {
+            lastConnectFailureMicros = Math.max(lastConnectFailureMicros, startedMicros);
+        }
+        if (unreachable) {
             recordUnreachable(startedMicros);
         }
+        return unreachable;
     }
 
     /** Returns whether a watch is established and not idle. */
@@ -115,7 +141,23 @@
 
     /** Returns whether a new attempt may use the list held. */
     public boolean isFresh(long nowMicros) {
+        if (!required || watchLive) {
+            return true;
+        }
         long lastValidMicros = Math.max(startedMicros, Math.max(lastCompleteMicros, lastUnreachableMicros));
-        return !required || watchLive || nowMicros < lastValidMicros + MAX_LIST_AGE_MICROS;
+        return nowMicros < lastValidMicros + MAX_LIST_AGE_MICROS && knowsChangesDue(nowMicros);
+    }
+
+    /**
+     * Returns whether the list has what was due after the orders to use another address. A rejected call to the new address does not
+     * extend the use of the list here: a discovery that rejects calls has changes to tell.
+     */
+    private boolean knowsChangesDue(long nowMicros) {
+        while (!addressChangesDue.isEmpty() && addressChangesDue.peekFirst() <= nowMicros) {
+            changesDueMicros = addressChangesDue.pollFirst();
+        }
+        boolean newAddressIsDown = lastConnectFailureMicros >= lastAddressChangeMicros
+                && nowMicros < lastConnectFailureMicros + MAX_LIST_AGE_MICROS;
+        return lastCompleteMicros >= changesDueMicros || newAddressIsDown;
     }
 }
--- a/balancer/src/test/java/baymoor/inventory/ListConfirmationTest.java
+++ b/balancer/src/test/java/baymoor/inventory/ListConfirmationTest.java
@@ -74,6 +74,47 @@
         checkCurrentUntil(START + 6 * SECOND);
     }
 
+    /** Guards against an old list in use for longer than 4 s after the order to ask another discovery, which rejects the calls. */
+    @Test
+    public void afterAnAddressChangeOnlyAConfirmationOfThatTimeOrLaterCounts() {
+        long changed = START + 10 * SECOND;
+        confirmation.watchHeartbeat(changed + SECOND);
+        confirmation.addressChanged(changed);
+        confirmation.watchLost();
+        confirmation.peerHasNoNewerList(changed + 3 * SECOND);
+        assertTrue(confirmation.callFailed(Outcome.REJECTED, changed + 2 * SECOND, changed + 4 * SECOND));
+        confirmation.recordUnreachable(changed + 3 * SECOND);
+        checkCurrentUntil(changed + 4 * SECOND);
+        confirmation.recordComplete(changed + 4 * SECOND - 1);
+        assertFalse(confirmation.isFresh(changed + 5 * SECOND));
+        confirmation.recordComplete(changed + 4 * SECOND);
+        checkCurrentUntil(changed + 10 * SECOND);
+    }
+
+    @Test
+    public void eachOfSeveralAddressChangesHasItsOwnTime() {
+        long changed = START + 10 * SECOND;
+        confirmation.recordComplete(changed);
+        confirmation.addressChanged(changed);
+        confirmation.addressChanged(changed + 3 * SECOND);
+        checkCurrentUntil(changed + 4 * SECOND);
+        confirmation.recordComplete(changed + 6 * SECOND);
+        checkCurrentUntil(changed + 7 * SECOND);
+        confirmation.watchHeartbeat(changed + 8 * SECOND);
+        assertTrue(confirmation.isFresh(changed + 9 * SECOND));
+    }
+
+    @Test
+    public void aConnectionToTheNewAddressThatFailsRestartsTheSixSeconds() {
+        long changed = START + 10 * SECOND;
+        confirmation.recordComplete(changed);
+        confirmation.callFailed(Outcome.CONNECTION_FAILED, changed - 1, changed);
+        confirmation.addressChanged(changed);
+        checkCurrentUntil(changed + 4 * SECOND);
+        confirmation.callFailed(Outcome.CONNECTION_FAILED, changed + 3 * SECOND, changed + 3 * SECOND);
+        checkCurrentUntil(changed + 9 * SECOND);
+    }
+
     @Test
     public void pushedListIsAlwaysCurrent() {
         assertTrue(ListConfirmation.notNeeded().isFresh(Long.MAX_VALUE / 4));
