The listener's queue is empty when listening begins

Cause: the wait of the first connection counted from the creation of the sockets, up to some seconds before the start to listen. Read in the code while tracing another failure; where the first connection is the platform's PING nothing is seen. Change: the queue counts as empty when the listener opens. Measured: ConnectionLimiterTest and MinaNetTest pass.

--- a/balancer/src/main/java/baymoor/net/LimitedAcceptor.java
+++ b/balancer/src/main/java/baymoor/net/LimitedAcceptor.java
@@ -1,5 +1,6 @@
 package baymoor.net;
 
+import java.net.SocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -31,6 +32,12 @@
         setBacklog(BACKLOG);
     }
 
+    @Override
+    protected ServerSocketChannel open(SocketAddress localAddress) throws Exception {
+        queue.foundEmpty(System.nanoTime());
+        return super.open(localAddress);
+    }
+
     /** Looks for connections and returns; the call after one that found none waits for the next connection. */
     @Override
     protected int select() throws Exception {
