--- a/emulator/src/main/java/baymoor/emulator/fabric/FabricConnection.java
+++ b/emulator/src/main/java/baymoor/emulator/fabric/FabricConnection.java
@@ -165,6 +165,13 @@
         }
     }
 
+    @Override
+    public void inputEnded() {
+        if (canReceive()) {
+            host.inputEnded();
+        }
+    }
+
     @Override
     public void closed() {
         connectionClosed = true;
