Give answers of hosts and open requests a part of the heap

Cause: charged to nothing were answers of hosts while they are received, the copy of a value in its encoded request, the open requests themselves, and their fields, kept as a map that takes some 40 times what the client sent.

Change: AnswerMemory reserves the size of a large answer before it is read on. Large values are sent without a copy, as a part of their own. Open requests are charged with what they keep, and keep their fields as text. Parts of the heap: partial commands 1/12 (was 1/8), values of writes 1/8 (1/6), open requests 1/8, answers of hosts 1/10; unsent replies stay at 1/6.

Tests changed: NorthTest compares the whole text of the fields in place of one of them; ClientMemoryIT starts its balancer in each test, since the memory differs; its old tests and bounds are the same.

Looked at: partial commands (charged before), replies (charged before), undelivered bytes of hosts (a window of at most 16 KB), answers without a length (their limit is reserved), discovery's lists (one call, 1 MB at most; not charged), peers' datagrams (256 bytes).

--- a/balancer/src/main/java/baymoor/assembly/Assembly.java
+++ b/balancer/src/main/java/baymoor/assembly/Assembly.java
@@ -138,6 +138,7 @@
                 reportFields,
                 decisionSettings.limits(),
                 maxConnections,
+                environment.clientMemory(),
                 dispatcher);
         boolean listIsPolled = decisionSettings.membership() == Decisions.Membership.ASK;
         int exchangeMembers = listIsPolled && decisionSettings.limits().mayTellPeers()
--- a/balancer/src/main/java/baymoor/http/RequestWriter.java
+++ b/balancer/src/main/java/baymoor/http/RequestWriter.java
@@ -1,6 +1,7 @@
 package baymoor.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Map;
 
 /** Encodes HTTP/1.1 requests. */
@@ -17,6 +18,17 @@
      * @param body    the body, or null if there is none
      */
     public static byte[] request(String method, String target, String host, Map<String, String> headers, byte[] body) {
+        byte[] head = head(method, target, host, headers, body);
+        if (body == null) {
+            return head;
+        }
+        byte[] encoded = Arrays.copyOf(head, head.length + body.length);
+        System.arraycopy(body, 0, encoded, head.length, body.length);
+        return encoded;
+    }
+
+    /** Encodes the head of a request alone, with a Content-Length header if it has a body. */
+    public static byte[] head(String method, String target, String host, Map<String, String> headers, byte[] body) {
         StringBuilder head = new StringBuilder(method)
                 .append(' ')
                 .append(target)
@@ -28,14 +40,7 @@
         if (body != null) {
             head.append("Content-Length: ").append(body.length).append("\r\n");
         }
-        byte[] headBytes = head.append("\r\n").toString().getBytes(StandardCharsets.UTF_8);
-        if (body == null) {
-            return headBytes;
-        }
-        byte[] encoded = new byte[headBytes.length + body.length];
-        System.arraycopy(headBytes, 0, encoded, 0, headBytes.length);
-        System.arraycopy(body, 0, encoded, headBytes.length, body.length);
-        return encoded;
+        return head.append("\r\n").toString().getBytes(StandardCharsets.UTF_8);
     }
 
     /** Percent-encodes a path segment; only unreserved characters stay as they are. */
--- a/balancer/src/main/java/baymoor/http/ResponseReader.java
+++ b/balancer/src/main/java/baymoor/http/ResponseReader.java
@@ -25,13 +25,14 @@
 
     private static final int MAX_LINE_LENGTH = 8192;
     private static final int MAX_HEADERS = 100;
+    private static final int SHORT_BODY_LENGTH = 1024;
     private static final int STATUS_NO_CONTENT = 204;
     private static final int STATUS_NOT_MODIFIED = 304;
     private static final int MIN_FINAL_STATUS = 200;
 
     private final int maxBodyLength;
     private final StringBuilder line = new StringBuilder();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final Map<String, String> headers = new HashMap<>();
     private State state = State.STATUS_LINE;
     private int status;
@@ -95,6 +96,27 @@
         }
     }
 
+    /**
+     * Returns how many bytes the body will take: the stated length, or the limit once a body without one is no longer short; 0 before
+     * a body.
+     */
+    public int requiredBodyBytes() {
+        if (!headersComplete() || isComplete()) {
+            return 0;
+        }
+        if (state == State.BODY) {
+            return body.size() + (int) remaining;
+        }
+        return body.size() < SHORT_BODY_LENGTH ? body.size() + 1 : maxBodyLength;
+    }
+
+    /** Makes the body's buffer large enough for {@link #requiredBodyBytes}, so that it need not grow. */
+    public void reserveBody() {
+        ByteArrayOutputStream larger = new ByteArrayOutputStream(requiredBodyBytes());
+        larger.writeBytes(body.toByteArray());
+        body = larger;
+    }
+
     /** Returns whether the status line and all headers have been read. */
     public boolean headersComplete() {
         return state.ordinal() > State.HEADERS.ordinal();
--- a/balancer/src/main/java/baymoor/memory/ClientMemory.java
+++ b/balancer/src/main/java/baymoor/memory/ClientMemory.java
@@ -4,7 +4,8 @@
 import java.util.concurrent.atomic.AtomicLongArray;
 
 /**
- * The budget for the memory that clients can make the program hold. Each connection has a small window of its own, so that usual
+ * The budget for the memory that clients can make the program hold, on their own connections and by their requests on those of
+ * hosts. Each connection has a small window of its own, so that usual
  * commands are read whatever other clients hold; what needs more is charged to a part of the heap, and rejected if the part is
  * used up. Thread-safe.
  */
@@ -15,9 +16,13 @@
         /** Bytes read from clients' sockets that wait for the decision thread; limited by the connections' windows. */
         UNDELIVERED_INPUT(1),
         /** Commands larger than a connection's window that have been received in part. */
-        PARTIAL_COMMANDS(8),
+        PARTIAL_COMMANDS(12),
+        /** Open requests without their values. */
+        OPEN_REQUESTS(8),
         /** Values of open writes. */
-        REQUEST_VALUES(6),
+        REQUEST_VALUES(8),
+        /** Answers of hosts larger than a connection's window that have been received in part. */
+        HOST_ANSWERS(10),
         /** Replies that wait for earlier ones, or for the client to read. */
         UNSENT_REPLIES(6);
 
--- a/balancer/src/main/java/baymoor/north/North.java
+++ b/balancer/src/main/java/baymoor/north/North.java
@@ -230,6 +230,7 @@
     /** Returns, and counts, whether the request would exceed the limits on open requests or on their memory. */
     boolean overCapacity(ClientRequest request) {
         boolean exceeded = pendingByTicket.size() >= maxPendingRequests
+                || !memory.hasRoom(Part.OPEN_REQUESTS, request.memoryBytes())
                 || !memory.hasRoom(Part.REQUEST_VALUES, valueLength(request));
         if (exceeded) {
             counters.increment(Count.TURNED_AWAY);
@@ -252,7 +253,8 @@
     /** Registers an open request and starts the timer of its deadline. */
     PendingReply register(RespClient client, ClientRequest request) {
         counters.increment(Count.REQUESTS);
-        PendingReply pending = new PendingReply(client, ++lastTicket, valueLength(request));
+        PendingReply pending = new PendingReply(client, ++lastTicket, request.memoryBytes(), valueLength(request));
+        memory.add(Part.OPEN_REQUESTS, pending.requestBytes);
         memory.add(Part.REQUEST_VALUES, pending.valueBytes);
         pendingByTicket.put(pending.ticket, pending);
         long delay = request.deadlineMicros() + OVERDUE_GRACE_MICROS - time.now();
@@ -285,8 +287,7 @@
             return false;
         }
         Answer answer = withinMemory(result);
-        memory.add(Part.REQUEST_VALUES, -pending.valueBytes);
-        pending.deadlineTimer.cancel();
+        close(pending);
         counters.increment(
                 answer instanceof Answer.Served
                         ? Count.SERVED
@@ -295,6 +296,13 @@
         return true;
     }
 
+    /** Releases what a request holds that is no longer open. */
+    private void close(PendingReply pending) {
+        memory.add(Part.OPEN_REQUESTS, -pending.requestBytes);
+        memory.add(Part.REQUEST_VALUES, -pending.valueBytes);
+        pending.deadlineTimer.cancel();
+    }
+
     /** Returns the answer, or a failure in place of a value that there is no memory for until the client has read it. */
     private Answer withinMemory(Answer answer) {
         if (answer instanceof Answer.Served served
@@ -315,8 +323,7 @@
         List<PendingReply> abandoned = new ArrayList<>();
         for (PendingReply pending : unanswered) {
             if (pendingByTicket.remove(pending.ticket) != null) {
-                memory.add(Part.REQUEST_VALUES, -pending.valueBytes);
-                pending.deadlineTimer.cancel();
+                close(pending);
                 abandoned.add(pending);
             }
         }
--- a/balancer/src/main/java/baymoor/north/PendingReply.java
+++ b/balancer/src/main/java/baymoor/north/PendingReply.java
@@ -6,6 +6,9 @@
 final class PendingReply {
     final RespClient client;
     final long ticket;
+    /** What the request is charged with as {@link baymoor.memory.ClientMemory.Part#OPEN_REQUESTS}. */
+    final int requestBytes;
+
     final int valueBytes;
     Time.Timer deadlineTimer;
     /** The encoded reply, null until there is one. */
@@ -15,9 +18,10 @@
 
     int repeatCount = 1;
 
-    PendingReply(RespClient client, long ticket, int valueBytes) {
+    PendingReply(RespClient client, long ticket, int requestBytes, int valueBytes) {
         this.client = client;
         this.ticket = ticket;
+        this.requestBytes = requestBytes;
         this.valueBytes = valueBytes;
     }
 }
--- a/balancer/src/main/java/baymoor/north/ReplyQueue.java
+++ b/balancer/src/main/java/baymoor/north/ReplyQueue.java
@@ -55,7 +55,7 @@
 
     /** Adds a reply to a command of this client. */
     void add(RespClient client, byte[] reply) {
-        PendingReply pending = new PendingReply(client, 0, 0);
+        PendingReply pending = new PendingReply(client, 0, 0, 0);
         pending.reply = reply;
         replies.addLast(pending);
     }
--- a/balancer/src/main/java/baymoor/north/RequestParser.java
+++ b/balancer/src/main/java/baymoor/north/RequestParser.java
@@ -41,7 +41,8 @@
     static ClientRequest parse(
             byte[] key, byte[] id, byte[] list, byte[] value, Set<String> requestClasses, long receivedMicros)
             throws InvalidRequestException {
-        Map<String, String> pairs = parsePairs(list);
+        String facts = parsePrintable(list, MAX_LIST_LENGTH, "list of names and values");
+        Map<String, String> pairs = parsePairs(facts);
         String requestClass = pairs.get("c");
         if (requestClass == null || !requestClasses.contains(requestClass)) {
             throw new InvalidRequestException("unknown class");
@@ -57,17 +58,16 @@
                 requestClass,
                 pairs.getOrDefault("t", ""),
                 value,
-                pairs,
+                facts,
                 receivedMicros + (long) (timeoutMillis * 1000) - MIN_ROUND_TRIP_MICROS,
                 Math.max(0, (long) workMicros),
                 Math.max(0, parseNumber(pairs, "size", 0)),
                 "1".equals(pairs.get("r")));
     }
 
-    private static Map<String, String> parsePairs(byte[] list) throws InvalidRequestException {
-        String text = parsePrintable(list, MAX_LIST_LENGTH, "list of names and values");
+    private static Map<String, String> parsePairs(String facts) throws InvalidRequestException {
         Map<String, String> pairs = new LinkedHashMap<>();
-        for (String pair : text.split(",", -1)) {
+        for (String pair : facts.split(",", -1)) {
             int equals = pair.indexOf('=');
             if (equals <= 0 || pairs.put(pair.substring(0, equals), pair.substring(equals + 1)) != null) {
                 throw new InvalidRequestException("malformed list of names and values");
--- a/balancer/src/main/java/baymoor/resp/RespWriter.java
+++ b/balancer/src/main/java/baymoor/resp/RespWriter.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 /** Encodes RESP2 values. */
 public final class RespWriter {
@@ -20,6 +21,20 @@
         return out.toByteArray();
     }
 
+    /**
+     * Encodes a command whose last argument is large, in parts that follow one another. The argument itself is one of them and is
+     * not copied.
+     */
+    public static List<byte[]> commandParts(byte[] lastArgument, byte[]... otherArguments) {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        head.writeBytes(utf8("*" + (otherArguments.length + 1) + "\r\n"));
+        for (byte[] argument : otherArguments) {
+            head.writeBytes(bulk(argument));
+        }
+        head.writeBytes(utf8("$" + lastArgument.length + "\r\n"));
+        return List.of(head.toByteArray(), lastArgument, CRLF);
+    }
+
     /** Encodes a bulk string. */
     public static byte[] bulk(byte[] content) {
         byte[] header = utf8("$" + content.length + "\r\n");
--- a/balancer/src/main/java/baymoor/serve/WarmUp.java
+++ b/balancer/src/main/java/baymoor/serve/WarmUp.java
@@ -84,6 +84,7 @@
                 List.of(),
                 decisionSettings.limits(),
                 MAX_HOST_CONNECTIONS,
+                new ClientMemory(HEAP_BYTES, CLIENTS),
                 dispatcher);
         dispatcher.connect(
                 north,
--- a/balancer/src/main/java/baymoor/south/HostConnection.java
+++ b/balancer/src/main/java/baymoor/south/HostConnection.java
@@ -5,6 +5,7 @@
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
 import baymoor.link.Time;
+import java.util.List;
 import merlinstep.Decisions.Outcome;
 
 /**
@@ -29,7 +30,13 @@
     private Attempt attempt;
     private Outcome abortOutcome;
     private boolean open;
-    private boolean requestWritten;
+    /** Parts of the last request that have not been written yet; above 0 also before the first request. */
+    private int unwrittenParts = 1;
+    /** What is reserved for the answer that is being received. */
+    private int reservedBytes;
+    /** Bytes that have to be reserved before the answer is read on, or 0. */
+    private int missingBytes;
+
     private boolean closing;
     /** The host has closed its output in order. */
     private boolean inputEnded;
@@ -76,10 +83,15 @@
             south.time.schedule(0, () -> south.endAttempt(refused, Reply.withoutAnswer(Outcome.NOT_SENT)));
             return;
         }
-        requestWritten = false;
         // Rounded down, so that the host is never given more time than this balancer waits.
         long waitMillis = Math.max(1, (attempt.deadlineMicros - south.time.now()) / 1000);
-        link.write(attempt.isProbe() ? codec.probe() : codec.request(attempt.content, waitMillis));
+        List<byte[]> parts = attempt.isProbe() ? List.of(codec.probe()) : codec.request(attempt.content, waitMillis);
+        unwrittenParts = parts.size();
+        parts.forEach(link::write);
+    }
+
+    private boolean isRequestWritten() {
+        return unwrittenParts == 0;
     }
 
     /**
@@ -107,6 +119,7 @@
             return;
         }
         south.counters.increment(Count.CONNECTIONS_OPENED);
+        link.setReceiveWindow(south.answerMemory.windowBytes());
         writeRequest();
     }
 
@@ -126,12 +139,13 @@
             stallTimer.cancel();
         }
         if (reply == null) {
-            stallTimer = south.time.schedule(south.stallTimeoutMicros, this::abortStalled);
+            reserveForAnswer();
             return;
         }
+        releaseReservation();
         Attempt answered = attempt;
         attempt = null;
-        if (reply.reusable() && requestWritten && reusable()) {
+        if (reply.reusable() && isRequestWritten() && reusable()) {
             south.time.schedule(QUIET_MICROS, this::returnToIdle);
         } else {
             close();
@@ -139,6 +153,58 @@
         south.endAttempt(answered, reply);
     }
 
+    /** Reads on if the answer fits into the connection's window or into memory that is reserved for it. */
+    private void reserveForAnswer() {
+        int requiredBytes = codec.requiredBytes();
+        if (requiredBytes <= Math.max(reservedBytes, south.answerMemory.windowBytes())) {
+            scheduleStallTimer();
+            return;
+        }
+        missingBytes = requiredBytes - reservedBytes;
+        if (south.answerMemory.tryReserve(this)) {
+            reserved();
+        } else {
+            link.setReading(false);
+        }
+    }
+
+    boolean hasReservation() {
+        return reservedBytes > 0;
+    }
+
+    int missingBytes() {
+        return missingBytes;
+    }
+
+    /** Reads the answer on, with what was missing reserved for it. */
+    void reserved() {
+        reservedBytes += missingBytes;
+        missingBytes = 0;
+        codec.reserveBuffer();
+        link.setReceiveWindow(south.answerMemory.reservedWindowBytes(reservedBytes));
+        link.setReading(true);
+        scheduleStallTimer();
+    }
+
+    private void scheduleStallTimer() {
+        stallTimer = south.time.schedule(south.stallTimeoutMicros, this::abortStalled);
+    }
+
+    /** Ends the reservation, or the wait for one. */
+    private void releaseReservation() {
+        if (reservedBytes == 0 && missingBytes == 0) {
+            return;
+        }
+        int bytes = reservedBytes;
+        reservedBytes = 0;
+        missingBytes = 0;
+        if (!closing) {
+            link.setReceiveWindow(south.answerMemory.windowBytes());
+            link.setReading(true);
+        }
+        south.answerMemory.release(this, bytes);
+    }
+
     private void returnToIdle() {
         if (!closing && reusable()) {
             host.addIdleConnection(this);
@@ -156,7 +222,7 @@
 
     @Override
     public void written() {
-        requestWritten = true;
+        unwrittenParts--;
     }
 
     @Override
@@ -171,6 +237,7 @@
             stallTimer.cancel();
         }
         closing = true;
+        releaseReservation();
         host.removeIdleConnection(this);
         host.connectionCount--;
         south.connectionCount--;
@@ -187,7 +254,7 @@
                     finalReply != null
                             ? finalReply
                             : Reply.withoutAnswer(
-                                    requestWritten || outcome == Outcome.CANCELLED || outcome == Outcome.ERROR
+                                    isRequestWritten() || outcome == Outcome.CANCELLED || outcome == Outcome.ERROR
                                             ? outcome
                                             : Outcome.NOT_CONNECTED));
         }
--- a/balancer/src/main/java/baymoor/south/OriginCodec.java
+++ b/balancer/src/main/java/baymoor/south/OriginCodec.java
@@ -26,13 +26,17 @@
     }
 
     @Override
-    public byte[] request(RequestContent content, long waitMillis) {
+    public List<byte[]> request(RequestContent content, long waitMillis) {
         // In insertion order, so that the bytes sent are reproducible; the order of Map.of varies between JVMs.
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("X-Correlation-Id", content.id());
         headers.put("X-Facts", content.encodeFacts(waitMillis));
         String target = "/" + RequestWriter.encodePathSegment(content.key());
-        return RequestWriter.request(content.value() == null ? "GET" : "PUT", target, host, headers, content.value());
+        byte[] value = content.value();
+        if (value == null || value.length <= MAX_COPIED_VALUE_BYTES) {
+            return List.of(RequestWriter.request(value == null ? "GET" : "PUT", target, host, headers, value));
+        }
+        return List.of(RequestWriter.head("PUT", target, host, headers, value), value);
     }
 
     @Override
@@ -50,6 +54,16 @@
         }
     }
 
+    @Override
+    public int requiredBytes() {
+        return reader.requiredBodyBytes();
+    }
+
+    @Override
+    public void reserveBuffer() {
+        reader.reserveBody();
+    }
+
     @Override
     public Reply end(boolean inOrder) {
         reader.endOfInput();
--- a/balancer/src/main/java/baymoor/south/RouterCodec.java
+++ b/balancer/src/main/java/baymoor/south/RouterCodec.java
@@ -29,14 +29,19 @@
     }
 
     @Override
-    public byte[] request(RequestContent content, long waitMillis) {
+    public List<byte[]> request(RequestContent content, long waitMillis) {
         probing = false;
         byte[] key = RespWriter.utf8(content.key());
         byte[] id = RespWriter.utf8(content.id());
         byte[] facts = RespWriter.utf8(content.encodeFacts(waitMillis));
-        return content.value() == null
-                ? RespWriter.command(RespWriter.utf8("OBJ.GET"), key, id, facts)
-                : RespWriter.command(RespWriter.utf8("OBJ.SET"), key, id, facts, content.value());
+        byte[] value = content.value();
+        if (value == null) {
+            return List.of(RespWriter.command(RespWriter.utf8("OBJ.GET"), key, id, facts));
+        }
+        byte[] name = RespWriter.utf8("OBJ.SET");
+        return value.length <= MAX_COPIED_VALUE_BYTES
+                ? List.of(RespWriter.command(name, key, id, facts, value))
+                : RespWriter.commandParts(value, name, key, id, facts);
     }
 
     @Override
@@ -107,6 +112,16 @@
         return bulk.bytes() == null ? null : new String(bulk.bytes(), StandardCharsets.UTF_8);
     }
 
+    @Override
+    public int requiredBytes() {
+        return reader.requiredBytes();
+    }
+
+    @Override
+    public void reserveBuffer() {
+        reader.fitBuffer();
+    }
+
     @Override
     public Reply end(boolean inOrder) {
         return null;
--- a/balancer/src/main/java/baymoor/south/South.java
+++ b/balancer/src/main/java/baymoor/south/South.java
@@ -5,6 +5,7 @@
 import baymoor.inventory.Inventory;
 import baymoor.link.Dialer;
 import baymoor.link.Time;
+import baymoor.memory.ClientMemory;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -43,6 +44,7 @@
     final Dialer dialer;
     final Time time;
     final Counters counters;
+    final AnswerMemory answerMemory;
     final long connectTimeoutMicros;
     /**
      * An answer that has begun and then pauses for this long fails, since a host may announce more bytes than it sends. A
@@ -73,6 +75,7 @@
      * @param originKind     the kind that marks the origin in the inventory, or null
      * @param reportFields   names of the values of a load report, empty without load reports
      * @param maxConnections limit of open connections to all hosts together
+     * @param memory         accounts for large answers while they are received
      */
     public South(
             Dialer dialer,
@@ -83,6 +86,7 @@
             List<String> reportFields,
             Limits limits,
             int maxConnections,
+            ClientMemory memory,
             Listener listener) {
         this.dialer = dialer;
         this.time = time;
@@ -91,6 +95,7 @@
         this.originKind = originKind;
         this.reportFields = reportFields;
         this.maxConnections = maxConnections;
+        answerMemory = new AnswerMemory(memory);
         this.listener = listener;
         connectTimeoutMicros =
                 limits.connectTimeoutMicros() > 0 ? limits.connectTimeoutMicros() : SWEEP_INTERVAL_MICROS;
--- a/balancer/src/test/java/baymoor/ClientMemoryIT.java
+++ b/balancer/src/test/java/baymoor/ClientMemoryIT.java
@@ -14,13 +14,16 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.After;
-import org.junit.Before;
 import org.junit.Test;
 
-/** The built balancer within 128 MB, while hundreds of clients make it hold as much as they can. */
+/** The built balancer within its memory, while hundreds of clients make it hold as much as they can. */
 public class ClientMemoryIT {
 
-    private static final int MAX_MEMORY_MB = 128;
+    private static final int USUAL_MEMORY_MB = 128;
+    private static final int SMALL_MEMORY_MB = 96;
+    private static final int ROUTERS = 30;
+    private static final int ROUTER_MILLIS = 250;
+    private static final int ORIGIN_MILLIS = 800;
     private static final int USUAL_REQUESTS = 100;
     private static final int USUAL_INTERVAL_MILLIS = 40;
     private static final int DEADLINE_MILLIS = 1200;
@@ -31,15 +34,31 @@
 
     private final BalancerEnvironment environment = new BalancerEnvironment();
     private final List<Socket> floodSockets = new ArrayList<>();
+    private int maxMemoryMb;
 
-    @Before
-    public void startBalancer() throws IOException {
-        environment.router("s-a", 0, parts -> {
-            String value = parts.get(1).equals("1a") ? LARGE_VALUE : "v";
-            return "*3\r\n$" + value.length() + "\r\n" + value + "\r\n$-1\r\n$-1\r\n";
-        });
+    private void startBalancer(int memoryMb) throws IOException {
+        environment.router("s-a", 0, ClientMemoryIT::answer);
         environment.origin(parts -> "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-        environment.start();
+        start(memoryMb);
+    }
+
+    private void start(int memoryMb) throws IOException {
+        maxMemoryMb = memoryMb;
+        environment.replacing("\"memory_mb\":128", "\"memory_mb\":" + memoryMb).start();
+    }
+
+    private static String answer(List<String> command) {
+        String value = command.get(1).startsWith("1a") ? LARGE_VALUE : "v";
+        return "*3\r\n$" + value.length() + "\r\n" + value + "\r\n$-1\r\n$-1\r\n";
+    }
+
+    private static String after(int millis, String answer) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return answer;
     }
 
     @After
@@ -110,7 +129,7 @@
         String status =
                 Files.readString(Path.of("/proc/" + environment.process().pid() + "/status"));
         int peakMegabytes = Integer.parseInt(status.replaceAll("(?s).*VmHWM:\\s*([0-9]+) kB.*", "$1")) / 1024;
-        assertTrue(peakMegabytes + " MB at the peak", peakMegabytes < MAX_MEMORY_MB);
+        assertTrue(peakMegabytes + " MB at the peak", peakMegabytes < maxMemoryMb);
     }
 
     /** Returns null, or what went wrong. A connection that is closed unread is tried once more, as clients do. */
@@ -133,6 +152,7 @@
     /** Guards against a heap filled by commands received in part, which ended the I/O thread and left the process deaf. */
     @Test
     public void usualRequestsAreAnsweredWhileHundredsOfClientsSendLargeCommands() throws Exception {
+        startBalancer(USUAL_MEMORY_MB);
         flood(400, 100, (client, number) -> {
             String id = "w" + client + "-" + number;
             return command("OBJ.SET", id, id, "c=search-order,t=fraser-surveyors,d=1400", LARGE_VALUE);
@@ -143,6 +163,7 @@
     /** Guards against a heap filled by commands whose end never comes. */
     @Test
     public void usualRequestsAreAnsweredWhileHundredsOfClientsStopInLargeCommands() throws Exception {
+        startBalancer(USUAL_MEMORY_MB);
         byte[] whole = command("OBJ.SET", "0b", "half", "c=search-order,t=fraser-surveyors,d=1400", LARGE_VALUE);
         byte[] half = java.util.Arrays.copyOf(whole, whole.length - 100);
         flood(400, 1, (client, number) -> half);
@@ -152,6 +173,7 @@
     /** Guards against a heap filled by answers that their clients do not read. */
     @Test
     public void usualRequestsAreAnsweredWhileHundredsOfClientsReadNothing() throws Exception {
+        startBalancer(USUAL_MEMORY_MB);
         flood(
                 300,
                 100,
@@ -159,4 +181,59 @@
                         command("OBJ.GET", "1a", "r" + client + "-" + number, "c=map-read,t=fraser-surveyors,d=1400"));
         assertUsualRequestsAreAnswered();
     }
+
+    /** Opens connections that read all that they are sent, and send pieces as fast as they are taken until they are closed. */
+    private void floodAndRead(int clients, Pieces content) throws IOException {
+        int before = floodSockets.size();
+        flood(clients, Integer.MAX_VALUE, content);
+        for (Socket socket : floodSockets.subList(before, floodSockets.size())) {
+            Thread thread = new Thread(() -> {
+                try {
+                    socket.getInputStream().transferTo(java.io.OutputStream.nullOutputStream());
+                } catch (IOException e) {
+                    // Closed by the balancer or at the end of the test.
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+    }
+
+    /** Guards against a heap filled by answers that are being received, copies of values and open requests. */
+    @Test
+    public void usualRequestsAreAnsweredWhileHundredsOfClientsReadAndWriteLargeValues() throws Exception {
+        for (int i = 0; i < ROUTERS; i++) {
+            environment.router(
+                    "s-" + i, 0, parts -> after(parts.get(1).startsWith("1a") ? ROUTER_MILLIS : 0, answer(parts)));
+        }
+        environment.origin(parts -> after(ORIGIN_MILLIS, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+        start(SMALL_MEMORY_MB);
+        floodAndRead(200, (client, number) -> {
+            String id = "w" + client + "-" + number;
+            return command("OBJ.SET", id, id, "c=search-order,t=fraser-surveyors,d=4500", LARGE_VALUE);
+        });
+        floodAndRead(
+                200,
+                (client, number) -> command(
+                        "OBJ.GET",
+                        "1a" + Integer.toHexString(1000 * client + number),
+                        "r" + client + "-" + number,
+                        "c=map-read,t=fraser-surveyors,d=1400"));
+        assertUsualRequestsAreAnswered();
+    }
+
+    /** Guards against a heap filled by the lists of names and values of open requests. */
+    @Test
+    public void usualRequestsAreAnsweredWhileHundredsOfClientsSendListsOfVeryManyShortFields() throws Exception {
+        environment.router("s-a", 0, parts -> parts.get(1).equals("0a") ? answer(parts) : null);
+        start(SMALL_MEMORY_MB);
+        StringBuilder fields = new StringBuilder("c=map-read,t=fraser-surveyors,d=1400");
+        for (int i = 0; fields.length() < 2000; i++) {
+            fields.append(',')
+                    .append(Integer.toString(i + 100, Character.MAX_RADIX))
+                    .append('=');
+        }
+        floodAndRead(400, (client, number) -> command("OBJ.GET", "1a", "f" + client + "-" + number, fields.toString()));
+        assertUsualRequestsAreAnswered();
+    }
 }
--- a/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
+++ b/balancer/src/test/java/baymoor/dispatch/DispatcherTest.java
@@ -95,6 +95,7 @@
                 List.of(),
                 limits,
                 9,
+                new ClientMemory(6 << 20, 64),
                 dispatcher);
         dispatcher.connect(
                 north,
--- a/balancer/src/test/java/baymoor/north/NorthTest.java
+++ b/balancer/src/test/java/baymoor/north/NorthTest.java
@@ -432,6 +432,6 @@
         ClientRequest request = received.get(0);
         assertTrue(request.deadlineMicros() < time.now() + 500_000 && request.deadlineMicros() > time.now() + 490_000);
         assertTrue(request.write() && request.retry() && request.workMicros() == 1200 && request.size() == 9.5);
-        assertEquals("77", request.facts().get("k"));
+        assertEquals("c=read,t=x,d=500,k=77,h=1200,size=9.5,r=1", request.facts());
     }
 }
--- a/balancer/src/test/java/baymoor/south/SouthTest.java
+++ b/balancer/src/test/java/baymoor/south/SouthTest.java
@@ -9,6 +9,7 @@
 import baymoor.counters.Count;
 import baymoor.counters.Counters;
 import baymoor.inventory.Inventory;
+import baymoor.memory.ClientMemory;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -23,6 +24,9 @@
 public class SouthTest {
 
     private static final String ANSWER = "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n";
+    /** Leaves 128 KB for large answers. */
+    private static final long HEAP_BYTES = 1 << 20;
+
     private static final long ROUTER = 1;
     private static final long ORIGIN = 2;
 
@@ -32,6 +36,7 @@
     private final List<String> ends = new ArrayList<>();
     private final Map<Long, Inventory.Entry> inventory = new HashMap<>();
     private final Set<String> disallowed = new HashSet<>();
+    private final ClientMemory memory = new ClientMemory(HEAP_BYTES, 64);
     private South south = south(10);
 
     private South south(int maxConnections) {
@@ -51,6 +56,7 @@
                 List.of(),
                 new Limits(5, 0, false, true, true, true, true, 0, 250_000, 30_000_000, 32, 0, 0),
                 maxConnections,
+                memory,
                 new South.Listener() {
                     @Override
                     public void attemptEnded(
@@ -76,7 +82,7 @@
                 request,
                 0,
                 host,
-                new RequestContent("k", request, Map.of("d", "9"), value),
+                new RequestContent("k", request, "d=9", value),
                 time.now() + 800_000,
                 () -> !disallowed.contains(request));
         return links.size() > before ? links.get(before) : null;
@@ -125,13 +131,7 @@
         for (long host : new long[] {ROUTER, ORIGIN}) {
             String request = "told" + host;
             long deadlineMicros = time.now() + 800_000;
-            south.send(
-                    request,
-                    1,
-                    host,
-                    new RequestContent("k", request, Map.of("d", "1400"), null),
-                    deadlineMicros,
-                    () -> true);
+            south.send(request, 1, host, new RequestContent("k", request, "d=1400", null), deadlineMicros, () -> true);
             FakeLink link = links.get(links.size() - 1);
             time.advance(200_000);
             link.events.opened();
@@ -340,6 +340,44 @@
         assertEquals("r RESET", takeEnds());
     }
 
+    /** Guards against a heap filled by answers that hosts send at once; its budget here is 104,857 bytes. */
+    @Test
+    public void largeAnswersAreReadOnOnlyWithinTheirMemory() {
+        String value = "v".repeat(60_000);
+        String begin = "*3\r\n$60000\r\nv";
+        FakeLink first = sendAndWrite("a", ROUTER);
+        first.receive(begin);
+        FakeLink second = sendAndWrite("b", ROUTER);
+        second.receive(begin);
+        FakeLink small = sendAndWrite("c", ROUTER);
+        small.receive(ANSWER);
+        assertEquals("c SERVED v", takeEnds());
+        assertTrue(first.reading && !second.reading);
+        time.advance(100_000);
+        assertFalse("it is held back, it has not stalled", second.closed);
+        assertTrue("nobody holds it back", first.closed);
+        first.events.closed();
+        assertTrue(second.reading);
+        second.receive(value.substring(1) + "\r\n$-1\r\n$-1\r\n");
+        assertEquals("a ERROR; b SERVED " + value, takeEnds());
+        assertEquals(0, memory.held(ClientMemory.Part.HOST_ANSWERS));
+    }
+
+    @Test
+    public void aLargeValueIsWrittenOnlyWithItsLastPart() {
+        FakeLink link = send("r", ORIGIN, new byte[10_000]);
+        link.events.opened();
+        link.events.written();
+        link.events.closed();
+        assertEquals("r NOT_CONNECTED", takeEnds());
+        link = send("s", ORIGIN, new byte[10_000]);
+        link.events.opened();
+        link.events.written();
+        link.events.written();
+        link.events.closed();
+        assertEquals("s RESET", takeEnds());
+    }
+
     @Test
     public void duplicateAnswerWithinTheQuietPeriodAnswersNoAttempt() {
         FakeLink link = sendAndWrite("a", ROUTER);
