--- a/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
+++ b/balancer/src/main/java/baymoor/dispatch/Dispatcher.java
@@ -67,6 +67,10 @@
             this.ticket = ticket;
             this.request = request;
         }
+
+        boolean mayHaveRun() {
+            return firstPossibleRunMicros != Long.MAX_VALUE;
+        }
     }
 
     private final Decisions decisions;
@@ -79,6 +83,8 @@
     private final Map<String, OpenRequest> requests = new HashMap<>();
     /** Request ids chosen by clients, of the requests in {@link #requests}. */
     private final Set<String> openClientRequestIds = new HashSet<>();
+
+    private final FinishedIds finishedIds = new FinishedIds();
     /** Tokens of the timers that the decision module has set while handling the current event. */
     private final Set<Long> timersSetByEvent = new HashSet<>();
 
@@ -159,7 +165,7 @@
 
     @Override
     public boolean isRequestIdInUse(String clientRequestId) {
-        return openClientRequestIds.contains(clientRequestId);
+        return openClientRequestIds.contains(clientRequestId) || finishedIds.contains(clientRequestId, time.now());
     }
 
     @Override
@@ -179,9 +185,17 @@
         if (open.attemptsInFlight == 0) {
             requests.remove(Long.toString(open.ticket));
             openClientRequestIds.remove(open.request.id());
+            if (open.mayHaveRun() && !isSafe(open.request)) {
+                finishedIds.add(open.request.id(), time.now());
+            }
         }
     }
 
+    private boolean isSafe(ClientRequest request) {
+        RequestClass requestClass = classesByName.get(request.requestClass());
+        return requestClass != null && requestClass.effect() == Decisions.Effect.SAFE;
+    }
+
     @Override
     public void attemptEnded(String requestId, int attempt, long host, Reply reply, long latencyMicros) {
         OpenRequest open = requests.get(requestId);
@@ -297,9 +311,7 @@
         if (open.attemptsInFlight == 1 && !open.done && !listFresh.getAsBoolean()) {
             counters.increment(Count.INVENTORY_STALE);
             // Answered at once, since no further attempt could be sent either.
-            answerRequest(
-                    action.request(),
-                    open.firstPossibleRunMicros == Long.MAX_VALUE ? new Answer.BackOff(0) : new Answer.Failed());
+            answerRequest(action.request(), open.mayHaveRun() ? new Answer.Failed() : new Answer.BackOff(0));
         }
         if (open.done
                 || !concurrencyAllowed
@@ -329,8 +341,7 @@
      */
     private boolean mayStart(OpenRequest open) {
         RequestClass requestClass = classesByName.get(open.request.requestClass());
-        boolean mayHaveRun = open.firstPossibleRunMicros != Long.MAX_VALUE;
-        boolean repeatAllowed = !mayHaveRun
+        boolean repeatAllowed = !open.mayHaveRun()
                 || requestClass != null
                         && switch (requestClass.effect()) {
                             case SAFE -> true;
