Tell a restarted balancer from the one before

Cause: incarnation and nonces were drawn from the configured seed alone.

Change: the incarnation depends on the time of the first message too, the clock of a process begins at a part of a second of its own, and the nonces' seed depends on the start of the process. The module draws as many random numbers as before.

--- a/balancer/src/main/java/baymoor/assembly/Assembly.java
+++ b/balancer/src/main/java/baymoor/assembly/Assembly.java
@@ -171,7 +171,7 @@
         listExchange = new ListExchange(
                 decisionSettings.index(),
                 Math.max(1, exchangeMembers),
-                ~decisionSettings.seed(),
+                exchangeSeed(decisionSettings.seed(), environment),
                 time,
                 inventory,
                 confirmation,
@@ -187,6 +187,16 @@
         dispatcher.connect(north, south, discovery, peers);
     }
 
+    /**
+     * Returns a seed that differs for each process, also of processes with the same configuration: replies to queries of the one
+     * before must not be taken for replies to this one's.
+     */
+    private static long exchangeSeed(long configuredSeed, Environment environment) {
+        long startMicros =
+                environment.time().now() - environment.unixMillisToMicros().applyAsLong(0);
+        return ~configuredSeed ^ startMicros;
+    }
+
     /** Handles a datagram of another balancer: a message of the list exchange here, any other one in the decision module. */
     private void peerMessageReceived(int peer, byte[] content) {
         if (!listExchange.handleDatagram(peer, content)) {
--- a/balancer/src/main/java/baymoor/inventory/ListExchange.java
+++ b/balancer/src/main/java/baymoor/inventory/ListExchange.java
@@ -70,7 +70,8 @@
      *
      * @param selfIndex     this balancer's index, from 0 to {@code balancerCount - 1}
      * @param balancerCount size of the tier, 1 if there are no peers to query
-     * @param seed          seeds the choice of peers, the nonces and the jitter of the query interval
+     * @param seed          seeds the choice of peers, the nonces and the jitter of the query interval; another one for each process
+     *                      that runs at this address, as replies to the one before may still arrive
      * @param listener      receives the list when a reply has stopped hosts
      */
     public ListExchange(
--- a/balancer/src/main/java/baymoor/net/DecisionThread.java
+++ b/balancer/src/main/java/baymoor/net/DecisionThread.java
@@ -3,8 +3,10 @@
 import baymoor.counters.Count;
 import baymoor.counters.Counters;
 import baymoor.link.Time;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -15,7 +17,7 @@
  */
 public final class DecisionThread implements Time, Runnable {
 
-    /** The clock's first reading, high enough that hosts which started long before this process have positive times. */
+    /** The least of the clock's first reading, high enough that hosts which started long before this process have positive times. */
     private static final long CLOCK_START_MICROS = 1_000_000_000_000L;
 
     /** Due before any posted task, so that follow-up work of the current event runs before the next event. */
@@ -35,11 +37,15 @@
 
     private final PriorityQueue<ScheduledTask> timers = new PriorityQueue<>();
     private final long startNanos = System.nanoTime();
+    /** Differs from process to process, as the decision module tells them apart by the time of their first message. */
+    private final long clockStartMicros =
+            CLOCK_START_MICROS + TimeUnit.NANOSECONDS.toMicros(Instant.now().getNano());
+
     private final Counters counters;
     private final Consumer<String> log;
     private final PauseDetector pauseDetector = new PauseDetector();
-    private long nowMicros = CLOCK_START_MICROS;
-    private long earliestArrivalMicros = CLOCK_START_MICROS;
+    private long nowMicros = clockStartMicros;
+    private long earliestArrivalMicros = clockStartMicros;
     /** When this thread expects to read the clock next, at the latest. */
     private long expectedWakeMicros = Long.MAX_VALUE;
 
@@ -108,7 +114,7 @@
 
     /** Reads the clock, in microseconds. May be called from any thread. */
     public long clockMicros() {
-        return CLOCK_START_MICROS + (System.nanoTime() - startNanos) / 1000;
+        return clockStartMicros + (System.nanoTime() - startNanos) / 1000;
     }
 
     /** Makes {@link #run} return after the current task. May be called from any thread. */
--- a/balancer/src/main/java/merlinstep/Rules.java
+++ b/balancer/src/main/java/merlinstep/Rules.java
@@ -606,6 +606,10 @@
             if (all.length == 1 || !settings.limits().mayTellPeers()) {
                 return;
             }
+            if (me.sequence == 0) {
+                // A restarted process has the same seed; its states would be taken for old ones.
+                me.incarnation ^= (int) now & 0xffff;
+            }
             byte[] load = CacheLoads.encode(slots.servers);
             lastBytes = PeerStatus.BYTES + load.length;
             out.accept(new TellPeer(TellPeer.EVERYONE, me.state.encode(me.incarnation, ++me.sequence, load)));
