One class ignores the events of a connection

The same empty methods stood in MinaNet and three tests. IgnoringLinkEvents holds them once, as a base where some events are needed. No behaviour changes. Measured: MinaLinkTest, MinaNetTest, ConnectionLimiterTest and LayoutTest pass.

--- a/balancer/src/main/java/baymoor/net/MinaNet.java
+++ b/balancer/src/main/java/baymoor/net/MinaNet.java
@@ -1,6 +1,7 @@
 package baymoor.net;
 
 import baymoor.link.Dialer;
+import baymoor.link.IgnoringLinkEvents;
 import baymoor.link.Link;
 import baymoor.link.LinkEvents;
 import baymoor.memory.ClientMemory;
@@ -198,19 +199,7 @@
 
     private static LinkEvents closeAtOnce(Link link) {
         link.close();
-        return new LinkEvents() {
-            @Override
-            public void opened() {}
-
-            @Override
-            public void received(byte[] bytes) {}
-
-            @Override
-            public void written() {}
-
-            @Override
-            public void closed() {}
-        };
+        return new IgnoringLinkEvents();
     }
 
     /** Forwards the events of a session to its link. */
--- a/balancer/src/test/java/baymoor/net/ConnectionLimiterTest.java
+++ b/balancer/src/test/java/baymoor/net/ConnectionLimiterTest.java
@@ -4,8 +4,8 @@
 import static org.junit.Assert.assertTrue;
 
 import baymoor.counters.Counters;
+import baymoor.link.IgnoringLinkEvents;
 import baymoor.link.Link;
-import baymoor.link.LinkEvents;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -31,7 +31,7 @@
         BlockingQueue<Link> links = new LinkedBlockingQueue<>();
         InetSocketAddress address = net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), link -> {
             links.add(link);
-            return new IgnoringEvents();
+            return new IgnoringLinkEvents();
         });
         long startNanos = System.nanoTime();
         List<Socket> clients = new ArrayList<>();
@@ -64,7 +64,7 @@
         BlockingQueue<Link> links = new LinkedBlockingQueue<>();
         InetSocketAddress address = net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), link -> {
             links.add(link);
-            return new IgnoringEvents();
+            return new IgnoringLinkEvents();
         });
         try (Socket first = new Socket(address.getAddress(), address.getPort());
                 Socket second = new Socket(address.getAddress(), address.getPort())) {
@@ -96,18 +96,4 @@
         limiter.disable();
         limiter.awaitCapacity();
     }
-
-    private static final class IgnoringEvents implements LinkEvents {
-        @Override
-        public void opened() {}
-
-        @Override
-        public void received(byte[] bytes) {}
-
-        @Override
-        public void written() {}
-
-        @Override
-        public void closed() {}
-    }
 }
--- a/balancer/src/test/java/baymoor/net/MinaLinkTest.java
+++ b/balancer/src/test/java/baymoor/net/MinaLinkTest.java
@@ -5,8 +5,8 @@
 import static org.junit.Assert.assertTrue;
 
 import baymoor.counters.Counters;
+import baymoor.link.IgnoringLinkEvents;
 import baymoor.link.Link;
-import baymoor.link.LinkEvents;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -40,10 +40,7 @@
         new Thread(thread, "decisions").start();
         InetSocketAddress address = net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), l -> {
             links.add(l);
-            return new LinkEvents() {
-                @Override
-                public void opened() {}
-
+            return new IgnoringLinkEvents() {
                 @Override
                 public void received(byte[] bytes) {
                     String text = new String(bytes, StandardCharsets.US_ASCII);
@@ -51,9 +48,6 @@
                     delivered.add(text);
                 }
 
-                @Override
-                public void written() {}
-
                 @Override
                 public void outputShutDown() {
                     delivered.add("finished");
--- a/balancer/src/test/java/baymoor/net/MinaNetTest.java
+++ b/balancer/src/test/java/baymoor/net/MinaNetTest.java
@@ -4,7 +4,7 @@
 import static org.junit.Assert.assertTrue;
 
 import baymoor.counters.Counters;
-import baymoor.link.LinkEvents;
+import baymoor.link.IgnoringLinkEvents;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -45,21 +45,13 @@
     }
 
     private InetSocketAddress listenAs(String name, int port) throws IOException {
-        return net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), link -> new LinkEvents() {
-            @Override
-            public void opened() {
-                link.write((name + "\n").getBytes(StandardCharsets.US_ASCII));
-            }
-
-            @Override
-            public void received(byte[] bytes) {}
-
-            @Override
-            public void written() {}
-
-            @Override
-            public void closed() {}
-        });
+        return net.listen(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), port), link -> new IgnoringLinkEvents() {
+                    @Override
+                    public void opened() {
+                        link.write((name + "\n").getBytes(StandardCharsets.US_ASCII));
+                    }
+                });
     }
 
     private static String firstLine(InetSocketAddress address) throws IOException {
