--- a/balancer/src/main/java/baymoor/south/Codec.java
+++ b/balancer/src/main/java/baymoor/south/Codec.java
@@ -6,7 +6,7 @@
 interface Codec {
 
     /** Values up to this size are copied into their request, so that it leaves in one piece; larger ones are sent as they are. */
-    int MAX_COPIED_VALUE_BYTES = 4 * 1024;
+    int MAX_COPIED_VALUE_BYTES = 16 * 1024;
 
     /**
      * Encodes a request, in parts that are sent one after another.
