--- a/balancer/src/main/java/baymoor/resp/RespWriter.java
+++ b/balancer/src/main/java/baymoor/resp/RespWriter.java
@@ -13,12 +13,17 @@
 
     /** Encodes a command, as an array of bulk strings. */
     public static byte[] command(byte[]... arguments) {
+        return beginCommand(arguments.length, arguments).toByteArray();
+    }
+
+    /** Encodes the first arguments of a command that has so many in all. */
+    private static ByteArrayOutputStream beginCommand(int argumentCount, byte[]... firstArguments) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        out.writeBytes(utf8("*" + arguments.length + "\r\n"));
-        for (byte[] argument : arguments) {
+        out.writeBytes(utf8("*" + argumentCount + "\r\n"));
+        for (byte[] argument : firstArguments) {
             out.writeBytes(bulk(argument));
         }
-        return out.toByteArray();
+        return out;
     }
 
     /**
@@ -26,11 +31,7 @@
      * not copied.
      */
     public static List<byte[]> commandParts(byte[] lastArgument, byte[]... otherArguments) {
-        ByteArrayOutputStream head = new ByteArrayOutputStream();
-        head.writeBytes(utf8("*" + (otherArguments.length + 1) + "\r\n"));
-        for (byte[] argument : otherArguments) {
-            head.writeBytes(bulk(argument));
-        }
+        ByteArrayOutputStream head = beginCommand(otherArguments.length + 1, otherArguments);
         head.writeBytes(utf8("$" + lastArgument.length + "\r\n"));
         return List.of(head.toByteArray(), lastArgument, CRLF);
     }
--- a/balancer/src/test/java/baymoor/south/SouthTest.java
+++ b/balancer/src/test/java/baymoor/south/SouthTest.java
@@ -24,7 +24,7 @@
 public class SouthTest {
 
     private static final String ANSWER = "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n";
-    /** Leaves 128 KB for large answers. */
+    /** Leaves 104,857 bytes for large answers. */
     private static final long HEAP_BYTES = 1 << 20;
 
     private static final long ROUTER = 1;
