No query of a list's age changes state; one search for each eviction

ListConfirmation.isFresh dropped passed times from a queue while it answered, and kept two fields that follow from them. The times stand in a sorted set now, from which the last one that has passed is read; passed ones are dropped when another order is recorded. North.checkConnectionLimit looked for one more client than it evicted. Two tests of ConnectionLimiterTest share their listener. No behaviour changes, no assertion is touched.

--- a/balancer/src/main/java/baymoor/inventory/ListConfirmation.java
+++ b/balancer/src/main/java/baymoor/inventory/ListConfirmation.java
@@ -1,7 +1,7 @@
 package baymoor.inventory;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.NavigableSet;
+import java.util.TreeSet;
 
 /**
  * Tracks how long the server list held may be used. A change is due a fixed time after discovery had it and was reachable,
@@ -40,11 +40,8 @@
     private long lastUnreachableMicros = NEVER;
     private long noNewerListMicros = NEVER;
     private long lastConnectFailureMicros = NEVER;
-    private long lastAddressChangeMicros = NEVER;
-    /** Times at which all changes are due after an order to use another address, the oldest first. */
-    private final Deque<Long> addressChangesDue = new ArrayDeque<>();
-    /** The last of those times that has passed. */
-    private long changesDueMicros = NEVER;
+    /** Times at which all changes are due after an order to use another address; of those that have passed the last is enough. */
+    private final NavigableSet<Long> changesDueMicros = new TreeSet<>();
 
     private ListConfirmation(boolean required, boolean hasPeers, long startedMicros) {
         this.required = required;
@@ -94,8 +91,11 @@
 
     /** Records the order to use another address of discovery. */
     void addressChanged(long nowMicros) {
-        lastAddressChangeMicros = nowMicros;
-        addressChangesDue.addLast(nowMicros + ADDRESS_CHANGE_LIMIT_MICROS);
+        Long lastDueMicros = changesDueMicros.floor(nowMicros);
+        if (lastDueMicros != null) {
+            changesDueMicros.headSet(lastDueMicros).clear();
+        }
+        changesDueMicros.add(nowMicros + ADDRESS_CHANGE_LIMIT_MICROS);
     }
 
     /** Returns when discovery was last unreachable, or a time long ago if it never was. */
@@ -153,11 +153,12 @@
      * extend the use of the list here: a discovery that rejects calls has changes to tell.
      */
     private boolean knowsChangesDue(long nowMicros) {
-        while (!addressChangesDue.isEmpty() && addressChangesDue.peekFirst() <= nowMicros) {
-            changesDueMicros = addressChangesDue.pollFirst();
+        Long lastDueMicros = changesDueMicros.floor(nowMicros);
+        if (lastDueMicros == null || lastCompleteMicros >= lastDueMicros) {
+            return true;
         }
-        boolean newAddressIsDown = lastConnectFailureMicros >= lastAddressChangeMicros
+        long lastAddressChangeMicros = changesDueMicros.last() - ADDRESS_CHANGE_LIMIT_MICROS;
+        return lastConnectFailureMicros >= lastAddressChangeMicros
                 && nowMicros < lastConnectFailureMicros + MAX_LIST_AGE_MICROS;
-        return lastCompleteMicros >= changesDueMicros || newAddressIsDown;
     }
 }
--- a/balancer/src/main/java/baymoor/north/North.java
+++ b/balancer/src/main/java/baymoor/north/North.java
@@ -193,17 +193,19 @@
      */
     private void checkConnectionLimit() {
         limitCheckScheduled = false;
-        Optional<RespClient> evictable = evictableClient();
-        while (clients.size() > maxClients && evictable.isPresent()) {
-            evict(evictable.get());
-            evictable = evictableClient();
+        boolean anyEvictable = true;
+        while (clients.size() > maxClients && anyEvictable) {
+            anyEvictable = evictOne();
         }
         closeExcessEvicted();
         scheduleLimitCheck();
     }
 
-    private Optional<RespClient> evictableClient() {
-        return oldestOwingCommand().or(this::longestIdle);
+    /** Evicts a client that owes a command, else the one idle longest; returns false if there is none. */
+    private boolean evictOne() {
+        Optional<RespClient> client = oldestOwingCommand().or(this::longestIdle);
+        client.ifPresent(this::evict);
+        return client.isPresent();
     }
 
     private void scheduleLimitCheck() {
--- a/balancer/src/test/java/baymoor/net/ConnectionLimiterTest.java
+++ b/balancer/src/test/java/baymoor/net/ConnectionLimiterTest.java
@@ -6,6 +6,7 @@
 import baymoor.counters.Counters;
 import baymoor.link.IgnoringLinkEvents;
 import baymoor.link.Link;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -22,6 +23,14 @@
     /** An attempt may tell its router this much more than is left to the client. */
     private static final long TOLD_TIME_SLACK_MICROS = 150_000;
 
+    /** Listens at a free port and returns its address; accepted connections are added to {@code links}. */
+    private static InetSocketAddress listen(MinaNet net, BlockingQueue<Link> links) throws IOException {
+        return net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), link -> {
+            links.add(link);
+            return new IgnoringLinkEvents();
+        });
+    }
+
     /** Guards against a burst of clients that takes every file descriptor before idle connections are evicted. */
     @Test
     public void acceptingWaitsAtTheLimitUntilAConnectionCloses() throws Exception {
@@ -29,10 +38,7 @@
         MinaNet net = new MinaNet(thread, 3, null);
         new Thread(thread, "decisions").start();
         BlockingQueue<Link> links = new LinkedBlockingQueue<>();
-        InetSocketAddress address = net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), link -> {
-            links.add(link);
-            return new IgnoringLinkEvents();
-        });
+        InetSocketAddress address = listen(net, links);
         long startNanos = System.nanoTime();
         List<Socket> clients = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
@@ -62,10 +68,7 @@
         MinaNet net = new MinaNet(thread, 1, null);
         new Thread(thread, "decisions").start();
         BlockingQueue<Link> links = new LinkedBlockingQueue<>();
-        InetSocketAddress address = net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), link -> {
-            links.add(link);
-            return new IgnoringLinkEvents();
-        });
+        InetSocketAddress address = listen(net, links);
         try (Socket first = new Socket(address.getAddress(), address.getPort());
                 Socket second = new Socket(address.getAddress(), address.getPort())) {
             long connectedNanos = System.nanoTime();
